--- a/modules/baobab_base/log.h
+++ b/modules/baobab_base/log.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -14,6 +16,19 @@
 /// Call once at the start of a process.
 auto InitializeLog(LogLevel level) -> void;
 
+/// Returns the level called "debug", "info", "warning" or "error".
+[[nodiscard]] auto ParseLogLevel(std::string_view name)
+    -> std::optional<LogLevel>;
+
+/// Sends log lines of at least `level` to standard output through a bounded
+/// buffer, which FlushLog empties. Logging never waits for the reader: lines
+/// that do not fit are dropped and counted, debug and information lines before
+/// warnings and errors. Call once at the start of a process.
+auto InitializeBufferedLog(LogLevel level) -> void;
+
+/// Writes as much of the buffer as standard output takes without waiting.
+auto FlushLog() -> void;
+
 /// Builds one log line of key=value pairs for one event and writes it when
 /// destroyed: `LogEvent(LogLevel::kInfo, "peer_joined").With("peer", id);`
 ///
--- /dev/null
+++ b/modules/baobab_gateway/attempt_policy.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "baobab_base/time_types.h"
+
+namespace baobab::gateway {
+
+/// Decides whether a request is worth another send.
+class AttemptPolicy {
+ public:
+  /// Sends of one request, including those that did not reach a target. Bounds
+  /// the work that one request causes when many targets fail at once.
+  static constexpr int kMostSends = 5;
+  /// Less time than this does not suffice for a connection and a first token.
+  static constexpr Duration kLeastTime = std::chrono::milliseconds(50);
+
+  /// Returns true if a request that was sent `sends` times and must be
+  /// answered by `limit` may be sent again at `now`.
+  [[nodiscard]] static auto MaySendAgain(int sends, TimePoint limit,
+                                         TimePoint now) -> bool {
+    return sends < kMostSends && limit - now >= kLeastTime;
+  }
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/boot_clock.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <ctime>
+
+#include "baobab_base/time_types.h"
+
+namespace baobab::gateway {
+
+/// Returns the time since the machine started, including the time for which it
+/// was suspended. Leases run on during a suspension, which the steady clock
+/// does not count.
+[[nodiscard]] inline auto BootTime() -> Duration {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -0,0 +1,503 @@
+#include "baobab_gateway/dispatcher.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "baobab_base/rendezvous_hash.h"
+
+namespace baobab::gateway {
+namespace {
+
+/// Time that a plain service call takes, as far as the queue is concerned.
+constexpr Duration kPlainCall = std::chrono::milliseconds(60);
+/// A refusing target gets nothing for this long: about the time in which a
+/// place of a full batch becomes free.
+constexpr Duration kFullPause = std::chrono::milliseconds(60);
+/// Bounds of Retry-After: a shorter wait finds the same queue, a longer one
+/// exceeds what callers honour.
+constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
+constexpr Duration kLongestRetry = std::chrono::seconds(3);
+
+auto ExpectedOutput(const Generation& generation) -> std::uint32_t {
+  if (generation.output_expected_ == 0) {
+    return generation.output_limit_;
+  }
+  return std::min(generation.output_limit_, 2 * generation.output_expected_);
+}
+
+auto CacheTokens(const Generation& generation) -> std::uint32_t {
+  return generation.prompt_tokens_ + ExpectedOutput(generation);
+}
+
+auto SharedChainHash(const std::vector<std::uint64_t>& chain) -> std::uint64_t {
+  // The last part belongs to the request itself.
+  return chain.size() < 2 ? 0 : chain[chain.size() - 2];
+}
+
+}  // namespace
+
+auto Dispatcher::SetManifest(const Manifest& manifest) -> void {
+  services_.clear();
+  for (const auto& service : manifest.services_) {
+    services_[service.name_] = service;
+  }
+  for (auto& [id, target] : targets_) {
+    if (const auto* engine = Engine(target.registration_.service_)) {
+      target.memory_.set_capacity(engine->cache_tokens_);
+    }
+  }
+}
+
+auto Dispatcher::SetTargets(const TargetRegistry& registry, TimePoint now)
+    -> void {
+  for (auto& [id, target] : targets_) {
+    target.registered_ = false;
+  }
+  for (const auto& [id, entry] : registry.entries()) {
+    auto& target = targets_[id];
+    const auto& registration = entry.registration_;
+    const bool restarted =
+        target.registration_.born_ms_ != registration.born_ms_ ||
+        target.registration_.endpoint_ != registration.endpoint_;
+    if (restarted) {
+      target.health_ = TargetHealth();
+      target.memory_.Clear();
+      target.loaded_.clear();
+      target.lacking_.clear();
+    }
+    if (target.registration_.models_ != registration.models_) {
+      // What the target says of itself replaces what others said of it.
+      target.lacking_.clear();
+      target.loaded_.clear();
+    }
+    target.registration_ = registration;
+    target.registered_ = true;
+    if (const auto* engine = Engine(registration.service_)) {
+      target.memory_.set_capacity(engine->cache_tokens_);
+    }
+  }
+  std::erase_if(targets_, [this](const auto& item) {
+    return !item.second.registered_ && own_.count(item.first) == 0;
+  });
+  peers_.Expire(now);
+}
+
+auto Dispatcher::Engine(const std::string& service) const -> const EngineSpec* {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.engine_
+             ? &*found->second.engine_
+             : nullptr;
+}
+
+auto Dispatcher::Holds(const Target& target, const WorkItem& item) const
+    -> bool {
+  const auto& generation = item.generation_;
+  if (generation.model_.empty()) {
+    return true;
+  }
+  const std::pair<std::string, std::string> model(generation.model_, "");
+  const std::pair<std::string, std::string> adapter(generation.model_,
+                                                    generation.adapter_);
+  if (target.lacking_.count(model) > 0 || target.lacking_.count(adapter) > 0) {
+    return false;
+  }
+  const auto& models = target.registration_.models_;
+  const auto found = std::find_if(models.begin(), models.end(),
+                                  [&generation](const ResidentModel& resident) {
+                                    return resident.name_ == generation.model_;
+                                  });
+  if (found == models.end() && target.loaded_.count(model) == 0) {
+    return false;
+  }
+  if (generation.adapter_.empty() || target.loaded_.count(adapter) > 0) {
+    return true;
+  }
+  return found != models.end() &&
+         std::find(found->adapters_.begin(), found->adapters_.end(),
+                   generation.adapter_) != found->adapters_.end();
+}
+
+auto Dispatcher::HasRoom(const Target& target, const TargetWork& busy,
+                         const WorkItem& item, TimePoint now) const -> bool {
+  if (now < target.full_until_) {
+    return false;
+  }
+  if (busy.running_ >= target.registration_.slots_) {
+    return false;
+  }
+  const auto* engine = Engine(item.service_);
+  if (engine == nullptr || busy.running_ == 0) {
+    return true;
+  }
+  const auto& generation = item.generation_;
+  const auto promised = static_cast<double>(engine->cache_tokens_) *
+                        settings_.cache_share_;
+  return busy.cache_tokens_ + CacheTokens(generation) <= promised &&
+         speed_.TimeFor(generation.model_, busy.prefill_tokens_) <=
+             settings_.prefill_backlog_;
+}
+
+auto Dispatcher::HomeOf(const WorkItem& item,
+                        const std::vector<Target*>& holders,
+                        const std::vector<std::uint64_t>& chain) const
+    -> const Target* {
+  const auto shared = SharedChainHash(chain);
+  if (shared == 0 || item.generation_.model_.empty()) {
+    return nullptr;
+  }
+  const Target* home = nullptr;
+  std::uint64_t best = 0;
+  for (const auto* target : holders) {
+    const auto weight = HashKey(target->registration_.id_, shared);
+    if (home == nullptr || weight > best) {
+      home = target;
+      best = weight;
+    }
+  }
+  return home;
+}
+
+auto Dispatcher::Choose(const WorkItem& item, TimePoint now) -> Choice {
+  Choice choice;
+  std::vector<Target*> holders;
+  for (auto& [id, target] : targets_) {
+    if (target.registered_ && !target.registration_.leaving_ &&
+        target.registration_.service_ == item.service_ &&
+        item.excluded_.count(id) == 0 && Holds(target, item)) {
+      holders.push_back(&target);
+    }
+  }
+  choice.exists_ = !holders.empty();
+  const auto& generation = item.generation_;
+  const auto chain = PrefixChain(generation);
+  const auto* home = HomeOf(item, holders, chain);
+  std::uint32_t shared_tokens = 0;
+  for (std::size_t i = 0; i + 1 < generation.parts_.size(); ++i) {
+    shared_tokens += generation.parts_[i].tokens_;
+  }
+  for (auto* target : holders) {
+    if (!target->health_.IsUsable(now)) {
+      continue;
+    }
+    const auto& id = target->registration_.id_;
+    auto busy = peers_.At(id);
+    if (const auto own = own_.find(id); own != own_.end()) {
+      busy += own->second;
+    }
+    if (!HasRoom(*target, busy, item, now)) {
+      continue;
+    }
+    auto kept = target->memory_.KeptTokens(chain, generation.parts_);
+    if (target == home) {
+      kept = std::max(kept, shared_tokens);
+    }
+    const auto prefill =
+        generation.prompt_tokens_ - std::min(kept, generation.prompt_tokens_);
+    const auto ahead = std::uint64_t{busy.prefill_tokens_} + prefill;
+    auto estimate = speed_.TimeFor(generation.model_, ahead) +
+                    settings_.per_running_ * busy.running_;
+    if (generation.model_.empty()) {
+      estimate = kPlainCall * (busy.running_ + 1) /
+                 std::max<std::size_t>(1, target->registration_.slots_);
+    }
+    if (target->registration_.zone_ != zone_) {
+      estimate += settings_.other_zone_;
+    }
+    estimate = Duration(static_cast<Duration::rep>(
+        static_cast<double>(estimate.count()) *
+        (1 + settings_.failure_weight_ * target->health_.failure_share())));
+    if (estimate < choice.estimate_) {
+      choice.target_ = target;
+      choice.estimate_ = estimate;
+      choice.prefill_tokens_ = prefill;
+      choice.ahead_tokens_ = ahead;
+    }
+  }
+  return choice;
+}
+
+auto Dispatcher::PredictedWait(const WorkItem& item, TimePoint now)
+    -> std::optional<Duration> {
+  // Work ahead of the request at all targets that hold its model, and in the
+  // queue of this instance, over the speed of these targets together.
+  std::uint64_t tokens = 0;
+  std::size_t calls = 0;
+  std::size_t holders = 0;
+  std::size_t slots = 0;
+  for (const auto& [id, target] : targets_) {
+    if (!target.registered_ || target.registration_.leaving_ ||
+        target.registration_.service_ != item.service_ ||
+        !target.health_.IsUsable(now) || !Holds(target, item)) {
+      continue;
+    }
+    ++holders;
+    slots += target.registration_.slots_;
+    auto busy = peers_.At(id);
+    if (const auto own = own_.find(id); own != own_.end()) {
+      busy += own->second;
+    }
+    tokens += busy.prefill_tokens_;
+    calls += busy.running_;
+  }
+  if (holders == 0) {
+    return std::nullopt;
+  }
+  for (const auto& [id, waiting] : queue_) {
+    if (waiting.generation_.model_ == item.generation_.model_ &&
+        waiting.service_ == item.service_ &&
+        waiting.objective_at_ <= item.objective_at_) {
+      tokens += waiting.generation_.prompt_tokens_ / 2;
+      ++calls;
+    }
+  }
+  if (item.generation_.model_.empty()) {
+    return kPlainCall * calls / std::max<std::size_t>(1, slots);
+  }
+  return speed_.TimeFor(item.generation_.model_, tokens / holders);
+}
+
+auto Dispatcher::Submit(WorkItem item, TimePoint now)
+    -> std::optional<Rejection> {
+  if (!item.generation_.model_.empty() && !item.resumed_) {
+    demand_.OnRequest(item.generation_, now);
+  }
+  const auto wait = PredictedWait(item, now);
+  if (wait && now + *wait > item.limit_at_) {
+    return Rejection{item.id_, "queue_too_long",
+                     std::clamp(*wait / 2, kShortestRetry, kLongestRetry)};
+  }
+  const auto id = item.id_;
+  queue_.emplace(id, std::move(item));
+  return std::nullopt;
+}
+
+auto Dispatcher::Assign(TimePoint now) -> std::vector<Assignment> {
+  std::vector<Assignment> assignments;
+  if (queue_.empty()) {
+    return assignments;
+  }
+  std::vector<const WorkItem*> order;
+  order.reserve(queue_.size());
+  for (const auto& [id, item] : queue_) {
+    order.push_back(&item);
+  }
+  const bool late_first = starts_ % settings_.late_every_ == 0;
+  std::sort(order.begin(), order.end(),
+            [this, now, late_first](const WorkItem* left, const WorkItem* right) {
+              const auto key = [this, now, late_first](const WorkItem* item) {
+                const bool late = item->objective_at_ < now;
+                return std::make_tuple(
+                    late != late_first,
+                    item->objective_at_ +
+                        settings_.per_priority_ * item->priority_,
+                    item->id_);
+              };
+              return key(left) < key(right);
+            });
+  for (const auto* item : order) {
+    const auto choice = Choose(*item, now);
+    if (choice.target_ == nullptr) {
+      continue;
+    }
+    ++starts_;
+    assignments.push_back(
+        {item->id_, choice.target_->registration_.id_, choice.estimate_});
+    Send(*item, choice, now);
+  }
+  for (const auto& assignment : assignments) {
+    queue_.erase(assignment.id_);
+  }
+  return assignments;
+}
+
+auto Dispatcher::Send(const WorkItem& item, const Choice& choice, TimePoint now)
+    -> void {
+  Sent sent;
+  sent.item_ = item;
+  sent.target_ = choice.target_->registration_.id_;
+  sent.work_ = {1, CacheTokens(item.generation_), choice.prefill_tokens_};
+  sent.ahead_tokens_ = choice.ahead_tokens_;
+  sent.at_ = now;
+  own_[sent.target_] += sent.work_;
+  choice.target_->memory_.Record(PrefixChain(item.generation_),
+                                 item.generation_.parts_);
+  if (!item.generation_.adapter_.empty()) {
+    uses_.insert({sent.target_, item.generation_.model_,
+                  item.generation_.adapter_});
+  }
+  sent_[item.id_] = std::move(sent);
+}
+
+auto Dispatcher::TakeAdapterUses() -> std::vector<AdapterUse> {
+  std::vector<AdapterUse> uses(uses_.begin(), uses_.end());
+  uses_.clear();
+  for (const auto& [id, sent] : sent_) {
+    const auto& generation = sent.item_.generation_;
+    if (!generation.adapter_.empty()) {
+      uses_.insert({sent.target_, generation.model_, generation.adapter_});
+    }
+  }
+  return uses;
+}
+
+auto Dispatcher::RejectHopeless(TimePoint now) -> std::vector<Rejection> {
+  std::vector<Rejection> rejections;
+  for (const auto& [id, item] : queue_) {
+    if (now >= item.limit_at_) {
+      rejections.push_back({id, "time_limit_in_queue", kShortestRetry});
+    }
+  }
+  for (const auto& rejection : rejections) {
+    queue_.erase(rejection.id_);
+  }
+  return rejections;
+}
+
+auto Dispatcher::Release(WorkId id) -> std::optional<Sent> {
+  const auto found = sent_.find(id);
+  if (found == sent_.end()) {
+    return std::nullopt;
+  }
+  auto sent = std::move(found->second);
+  sent_.erase(found);
+  const auto own = own_.find(sent.target_);
+  if (own != own_.end()) {
+    auto& work = own->second;
+    work.running_ -= sent.work_.running_;
+    work.cache_tokens_ -= sent.work_.cache_tokens_;
+    work.prefill_tokens_ -= sent.first_token_ ? 0 : sent.work_.prefill_tokens_;
+    if (work.running_ == 0) {
+      own_.erase(own);
+    }
+  }
+  return sent;
+}
+
+auto Dispatcher::OnFirstToken(WorkId id, TimePoint now) -> void {
+  const auto found = sent_.find(id);
+  if (found == sent_.end() || found->second.first_token_) {
+    return;
+  }
+  auto& sent = found->second;
+  sent.first_token_ = true;
+  own_[sent.target_].prefill_tokens_ -= sent.work_.prefill_tokens_;
+  speed_.Observe(sent.item_.generation_.model_, sent.ahead_tokens_,
+                 now - sent.at_);
+}
+
+auto Dispatcher::OnServed(WorkId id) -> void {
+  if (const auto sent = Release(id)) {
+    if (const auto target = targets_.find(sent->target_);
+        target != targets_.end()) {
+      target->second.health_.OnSuccess();
+    }
+  }
+}
+
+auto Dispatcher::OnErrorResponse(WorkId id) -> void {
+  if (const auto sent = Release(id)) {
+    if (const auto target = targets_.find(sent->target_);
+        target != targets_.end()) {
+      target->second.health_.OnErrorResponse();
+    }
+  }
+}
+
+auto Dispatcher::OnTargetFailed(WorkId id, TimePoint now) -> void {
+  if (const auto sent = Release(id)) {
+    if (const auto target = targets_.find(sent->target_);
+        target != targets_.end()) {
+      target->second.health_.OnFailure(now);
+    }
+  }
+}
+
+auto Dispatcher::OnTargetRefused(WorkId id, bool lacks_model, TimePoint now)
+    -> void {
+  const auto sent = Release(id);
+  if (!sent) {
+    return;
+  }
+  const auto target = targets_.find(sent->target_);
+  if (target == targets_.end()) {
+    return;
+  }
+  const auto& generation = sent->item_.generation_;
+  if (lacks_model && !generation.model_.empty()) {
+    target->second.lacking_.insert({generation.model_, generation.adapter_});
+  } else {
+    target->second.full_until_ = now + kFullPause;
+  }
+}
+
+auto Dispatcher::Forget(WorkId id) -> void {
+  queue_.erase(id);
+  Release(id);
+}
+
+auto Dispatcher::OnPeerWork(const std::string& peer, WorkByTarget work,
+                            TimePoint now) -> void {
+  peers_.Update(peer, std::move(work), now);
+}
+
+auto Dispatcher::OnAdapterLoaded(const std::string& target,
+                                 const std::string& model,
+                                 const std::string& adapter) -> void {
+  const auto found = targets_.find(target);
+  if (found != targets_.end()) {
+    found->second.loaded_.insert({model, adapter});
+    found->second.lacking_.erase({model, adapter});
+  }
+}
+
+auto Dispatcher::OnRemoval(const std::string& target, const std::string& model,
+                           const std::string& adapter) -> void {
+  const auto found = targets_.find(target);
+  if (found != targets_.end()) {
+    found->second.lacking_.insert({model, adapter});
+    found->second.loaded_.erase({model, adapter});
+  }
+}
+
+auto Dispatcher::AdapterNeeds() const -> std::vector<AdapterNeed> {
+  std::vector<AdapterNeed> needs;
+  for (const auto& [id, item] : queue_) {
+    const auto& generation = item.generation_;
+    if (generation.adapter_.empty()) {
+      continue;
+    }
+    const bool held = std::any_of(
+        targets_.begin(), targets_.end(), [this, &item = item](const auto& entry) {
+          return entry.second.registered_ &&
+                 !entry.second.registration_.leaving_ &&
+                 entry.second.registration_.service_ == item.service_ &&
+                 Holds(entry.second, item);
+        });
+    if (held) {
+      continue;
+    }
+    const auto known = std::find_if(
+        needs.begin(), needs.end(), [&generation](const AdapterNeed& need) {
+          return need.model_ == generation.model_ &&
+                 need.adapter_ == generation.adapter_;
+        });
+    if (known != needs.end()) {
+      ++known->waiting_;
+    } else {
+      needs.push_back(
+          {item.service_, generation.model_, generation.adapter_, 1});
+    }
+  }
+  return needs;
+}
+
+auto Dispatcher::OldestWait(TimePoint now) const -> Duration {
+  Duration oldest{};
+  for (const auto& [id, item] : queue_) {
+    oldest = std::max(oldest, now - item.arrived_);
+  }
+  return oldest;
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/dispatcher.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "baobab_base/time_types.h"
+#include "baobab_gateway/manifest.h"
+#include "baobab_gateway/model_demand.h"
+#include "baobab_gateway/prefill_speed.h"
+#include "baobab_gateway/prefix_memory.h"
+#include "baobab_gateway/target_health.h"
+#include "baobab_gateway/target_load.h"
+#include "baobab_gateway/target_registry.h"
+#include "baobab_gateway/work_item.h"
+
+namespace baobab::gateway {
+
+/// Limits and weights of dispatch decisions.
+struct DispatchSettings {
+  /// Unread prompt tokens that may be ahead of a request at an engine, as time.
+  /// About one long prompt: the engine stays busy, and the rest of the work
+  /// can still be reordered or sent elsewhere.
+  Duration prefill_backlog_ = std::chrono::milliseconds(250);
+  /// Part of an engine's cache that may be promised to requests. The rest
+  /// covers prompts that turn out longer and work that peers have just sent.
+  double cache_share_ = 0.9;
+  /// Time added to the estimate of a target in another zone: the price of its
+  /// bytes, expressed as delay.
+  Duration other_zone_ = std::chrono::milliseconds(4);
+  /// Time added to the estimate per request that already runs at a target.
+  Duration per_running_ = std::chrono::microseconds(1500);
+  /// Factor on the estimate of a target all of whose requests fail.
+  double failure_weight_ = 6;
+  /// Every nth start goes to a request that is already late, so that late
+  /// requests, which still have some value, do not starve at the crest.
+  unsigned late_every_ = 4;
+  /// Age in the queue that one step of priority is worth.
+  Duration per_priority_ = std::chrono::milliseconds(300);
+};
+
+/// A request that may be sent to a target now.
+struct Assignment {
+  WorkId id_ = 0;
+  std::string target_;
+  Duration predicted_{};  ///< Expected time to the first token.
+};
+
+/// A request that cannot be served in time; it has not been sent.
+struct Rejection {
+  WorkId id_ = 0;
+  std::string reason_;
+  Duration retry_after_{};  ///< When a repetition has a chance.
+};
+
+/// An adapter that waiting requests need and no target holds.
+struct AdapterNeed {
+  std::string service_;
+  std::string model_;
+  std::string adapter_;
+  std::uint32_t waiting_ = 0;
+  auto operator==(const AdapterNeed&) const -> bool = default;
+};
+
+/// An adapter that requests of this instance use at a target.
+struct AdapterUse {
+  std::string target_;
+  std::string model_;
+  std::string adapter_;
+  auto operator<=>(const AdapterUse&) const = default;
+};
+
+/// Decides which waiting request goes to which target, and when.
+///
+/// Work waits here and not at the targets. A target gets a request only if it
+/// can start it soon: by free batch slots, by cache memory and by the prompt
+/// tokens ahead of it, counted over all instances. Among the requests that can
+/// still begin in time, the one that must begin first goes first; late ones
+/// keep a share. A request that no target can begin before its time limit is
+/// rejected at once.
+///
+/// Answers: bursts of one kind of request, the loss of targets under load, and
+/// several instances that fill the same targets between two exchanges of loads.
+class Dispatcher {
+ public:
+  Dispatcher(DispatchSettings settings, std::string zone)
+      : settings_(settings), zone_(std::move(zone)) {}
+
+  /// Sets the services in force.
+  auto SetManifest(const Manifest& manifest) -> void;
+
+  /// Sets the targets that may get work.
+  auto SetTargets(const TargetRegistry& registry, TimePoint now) -> void;
+
+  /// Adds a request to the queue, or rejects it if it cannot be served in time.
+  [[nodiscard]] auto Submit(WorkItem item, TimePoint now)
+      -> std::optional<Rejection>;
+
+  /// Returns the requests to send now.
+  [[nodiscard]] auto Assign(TimePoint now) -> std::vector<Assignment>;
+
+  /// Removes the waiting requests that can no longer be served in time.
+  [[nodiscard]] auto RejectHopeless(TimePoint now) -> std::vector<Rejection>;
+
+  /// The target began to answer.
+  auto OnFirstToken(WorkId id, TimePoint now) -> void;
+  /// The target served the request to its end.
+  auto OnServed(WorkId id) -> void;
+  /// The target answered with an error of its own.
+  auto OnErrorResponse(WorkId id) -> void;
+  /// The target could not be reached or broke off.
+  auto OnTargetFailed(WorkId id, TimePoint now) -> void;
+  /// The target refused the request as full or not holding what it needs.
+  auto OnTargetRefused(WorkId id, bool lacks_model, TimePoint now) -> void;
+  /// The request is no longer wanted or finished otherwise.
+  auto Forget(WorkId id) -> void;
+
+  /// Records what `peer` has in progress.
+  auto OnPeerWork(const std::string& peer, WorkByTarget work, TimePoint now)
+      -> void;
+  /// The holder of orders says that `target` has loaded an adapter.
+  auto OnAdapterLoaded(const std::string& target, const std::string& model,
+                       const std::string& adapter) -> void;
+  /// The holder of orders is about to remove an adapter, or a model if
+  /// `adapter` is empty, from `target`.
+  auto OnRemoval(const std::string& target, const std::string& model,
+                 const std::string& adapter) -> void;
+
+  /// What this instance has in progress, for its peers.
+  [[nodiscard]] auto OwnWork() const -> const WorkByTarget& { return own_; }
+  /// Adapters that waiting requests need.
+  [[nodiscard]] auto AdapterNeeds() const -> std::vector<AdapterNeed>;
+  /// Adapters in use now or since the last call.
+  [[nodiscard]] auto TakeAdapterUses() -> std::vector<AdapterUse>;
+  /// Demand by model since the last calls.
+  [[nodiscard]] auto demand() -> ModelDemand& { return demand_; }
+  [[nodiscard]] auto waiting() const -> std::size_t { return queue_.size(); }
+  [[nodiscard]] auto running() const -> std::size_t { return sent_.size(); }
+  /// Time that the longest-waiting request has waited.
+  [[nodiscard]] auto OldestWait(TimePoint now) const -> Duration;
+
+ private:
+  struct Target {
+    TargetRegistration registration_;
+    TargetHealth health_;
+    PrefixMemory memory_;
+    bool registered_ = false;
+    std::set<std::pair<std::string, std::string>> loaded_;
+    std::set<std::pair<std::string, std::string>> lacking_;
+    TimePoint full_until_{};
+  };
+  struct Sent {
+    WorkItem item_;
+    std::string target_;
+    TargetWork work_;
+    std::uint64_t ahead_tokens_ = 0;  // unread at the target, with its own
+    TimePoint at_{};
+    bool first_token_ = false;
+  };
+  struct Choice {
+    Target* target_ = nullptr;
+    Duration estimate_ = Duration::max();
+    std::uint32_t prefill_tokens_ = 0;
+    std::uint64_t ahead_tokens_ = 0;
+    bool exists_ = false;  // some target could serve it, if it were not busy
+  };
+
+  [[nodiscard]] auto Choose(const WorkItem& item, TimePoint now) -> Choice;
+  [[nodiscard]] auto Holds(const Target& target, const WorkItem& item) const
+      -> bool;
+  [[nodiscard]] auto HasRoom(const Target& target, const TargetWork& busy,
+                             const WorkItem& item, TimePoint now) const -> bool;
+  [[nodiscard]] auto HomeOf(const WorkItem& item,
+                            const std::vector<Target*>& holders,
+                            const std::vector<std::uint64_t>& chain) const
+      -> const Target*;
+  auto Send(const WorkItem& item, const Choice& choice, TimePoint now) -> void;
+  auto Release(WorkId id) -> std::optional<Sent>;
+  [[nodiscard]] auto Engine(const std::string& service) const
+      -> const EngineSpec*;
+  [[nodiscard]] auto PredictedWait(const WorkItem& item, TimePoint now)
+      -> std::optional<Duration>;
+
+  DispatchSettings settings_;
+  std::string zone_;
+  std::map<std::string, Service> services_;
+  std::map<std::string, Target> targets_;
+  std::map<WorkId, WorkItem> queue_;
+  std::map<WorkId, Sent> sent_;
+  WorkByTarget own_;
+  std::set<AdapterUse> uses_;
+  PeerLoad peers_;
+  PrefillSpeed speed_;
+  ModelDemand demand_;
+  unsigned starts_ = 0;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/event_stream.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace baobab::gateway {
+
+/// Cuts a server-sent event stream into whole events, so that a caller never
+/// receives a part of an event that its target did not finish.
+class EventStream {
+ public:
+  /// Continues after the event with id `last`; -1: from the start.
+  explicit EventStream(std::int64_t last = -1) : last_(last) {}
+
+  /// Adds bytes of the target and returns the whole events in them that come
+  /// after the last one. Events with lower ids, which a resumed target may
+  /// repeat, are left out.
+  [[nodiscard]] auto Take(std::string_view bytes) -> std::string;
+
+  /// Starts with the response of another target.
+  auto Restart() -> void { partial_.clear(); }
+
+  /// Id of the last whole event; -1: none.
+  [[nodiscard]] auto last() const -> std::int64_t { return last_; }
+
+  /// Returns true if an event has begun and not ended.
+  [[nodiscard]] auto IsInsideEvent() const -> bool { return !partial_.empty(); }
+
+ private:
+  std::string partial_;
+  std::int64_t last_;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/gateway_metrics.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+#include "baobab_base/metrics_registry.h"
+
+namespace baobab::gateway {
+
+/// Returns the label text for one label.
+[[nodiscard]] inline auto Label(const std::string& name,
+                                const std::string& value) -> std::string {
+  return name + "=\"" + value + "\"";
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/holder_lease.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+#include "baobab_base/time_types.h"
+
+namespace baobab::gateway {
+
+/// Whether this instance may give orders to engines now.
+///
+/// Answers holders that are suspended, cut off from the store, or robbed of
+/// their lease without notice: the right lapses a short time after the last
+/// renewal was sent, by a clock that counts suspension. A new holder waits
+/// until the right of any former one has lapsed and the time that must lie
+/// between the orders of two holders has passed. All times are boot times.
+class HolderLease {
+ public:
+  /// The right lapses this long after a renewal that succeeded was sent.
+  static constexpr Duration kValidity = std::chrono::milliseconds(1100);
+  /// Renewals are sent at this interval: two fit into the validity while the
+  /// store is slow.
+  static constexpr Duration kRenewInterval = std::chrono::milliseconds(400);
+  /// Lease at the store, after which others may take over. Longer than the
+  /// validity, so that a live holder is not replaced before it stops.
+  static constexpr Duration kStoreTime = std::chrono::milliseconds(1500);
+
+  /// `turn`: the time that must lie between the orders of two holders.
+  explicit HolderLease(Duration turn) : turn_(turn) {}
+
+  /// The store granted the right; the call was sent at `sent`.
+  auto Acquire(std::int64_t fencing_token, Duration sent, Duration now)
+      -> void {
+    fencing_token_ = fencing_token;
+    renewed_ = sent;
+    orders_from_ = now + kValidity + turn_;
+  }
+
+  /// A renewal that was sent at `sent` succeeded.
+  auto Renew(Duration sent) -> void { renewed_ = std::max(renewed_, sent); }
+
+  /// The right is lost or given back.
+  auto Release() -> void { fencing_token_ = 0; }
+
+  /// Returns true if this instance takes itself for the holder.
+  [[nodiscard]] auto is_held() const -> bool { return fencing_token_ != 0; }
+
+  /// Returns true if the right has lapsed and must be acquired anew.
+  [[nodiscard]] auto HasLapsed(Duration now) const -> bool {
+    return now >= renewed_ + kValidity;
+  }
+
+  /// Returns true if orders may be given.
+  [[nodiscard]] auto MayOrder(Duration now) const -> bool {
+    return is_held() && now >= orders_from_ && !HasLapsed(now);
+  }
+
+  /// The number that rises with each holder; 0 if this instance is none.
+  [[nodiscard]] auto fencing_token() const -> std::int64_t {
+    return fencing_token_;
+  }
+
+ private:
+  Duration turn_;
+  std::int64_t fencing_token_ = 0;
+  Duration renewed_{};
+  Duration orders_from_{};
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -0,0 +1,80 @@
+#include "baobab_gateway/instance_directory.h"
+
+namespace baobab::gateway {
+
+auto InstanceDirectory::Register(const std::string& instance,
+                                 const std::string& address,
+                                 const std::string& callers) -> void {
+  auto& entry = instances_[instance];
+  entry.registered_ = true;
+  if (!entry.heard_) {
+    entry.address_ = address;
+    entry.callers_ = callers;
+  }
+}
+
+auto InstanceDirectory::Unregister(const std::string& instance) -> void {
+  const auto found = instances_.find(instance);
+  if (found != instances_.end()) {
+    found->second.registered_ = false;
+  }
+}
+
+auto InstanceDirectory::Hear(const PeerReport& report, TimePoint now) -> bool {
+  auto& entry = instances_[report.instance_];
+  const bool same_process = report.incarnation_ == entry.incarnation_;
+  if (same_process ? report.sequence_ <= entry.sequence_
+                   : report.incarnation_ == entry.previous_incarnation_) {
+    return false;
+  }
+  if (!same_process) {
+    entry.previous_incarnation_ = entry.incarnation_;
+  }
+  entry.address_ = report.address_;
+  entry.callers_ = report.callers_;
+  entry.incarnation_ = report.incarnation_;
+  entry.sequence_ = report.sequence_;
+  entry.heard_ = true;
+  entry.ready_ = report.ready_;
+  entry.stopping_ = report.stopping_;
+  entry.heard_at_ = now;
+  entry.fencing_token_ = report.fencing_token_;
+  return true;
+}
+
+auto InstanceDirectory::Expire(TimePoint now) -> void {
+  std::erase_if(instances_, [now](const auto& item) {
+    const auto& instance = item.second;
+    return !instance.registered_ && now - instance.heard_at_ > kForget;
+  });
+}
+
+auto InstanceDirectory::CallerAddresses(const std::string& own,
+                                        TimePoint now) const
+    -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  if (!own.empty()) {
+    addresses.push_back(own);
+  }
+  std::size_t registered = 0;
+  std::size_t audible = 0;
+  for (const auto& [name, instance] : instances_) {
+    registered += instance.registered_ ? 1 : 0;
+    audible += instance.heard_ && now - instance.heard_at_ <= kSilence ? 1 : 0;
+  }
+  const bool cut_off = audible * 2 < registered;
+  for (const auto& [name, instance] : instances_) {
+    if (addresses.size() >= kMostAddresses || instance.stopping_ ||
+        instance.callers_.empty()) {
+      continue;
+    }
+    const bool is_audible =
+        instance.heard_ && now - instance.heard_at_ <= kSilence;
+    if (is_audible ? instance.ready_ : cut_off && instance.registered_) {
+      addresses.push_back(instance.callers_);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/instance_directory.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "baobab_base/time_types.h"
+#include "baobab_gateway/peer_report.h"
+
+namespace baobab::gateway {
+
+/// The other instances: those registered in the store and those heard from.
+///
+/// Decides which addresses callers get. Answers the loss of several instances
+/// at once, rolling restarts and a partition of this instance from its peers:
+/// an instance that is silent leaves the answers within about a second, but an
+/// instance that hears fewer than half of its peers takes itself for the one
+/// that is cut off and lists all that are registered.
+class InstanceDirectory {
+ public:
+  /// Silence after which an instance is not listed: three reports of an
+  /// instance under load and the time that one may be delayed.
+  static constexpr Duration kSilence = std::chrono::milliseconds(1300);
+  /// Silence after which an unregistered instance is forgotten.
+  static constexpr Duration kForget = std::chrono::seconds(20);
+  /// Largest number of addresses in an answer.
+  static constexpr std::size_t kMostAddresses = 64;
+
+  /// An instance as known here.
+  struct Instance {
+    std::string address_;  ///< IP address.
+    std::string callers_;  ///< Address for callers, "ip:port".
+    std::int64_t incarnation_ = 0;
+    /// Of the process before: its late reports are ignored.
+    std::int64_t previous_incarnation_ = 0;
+    std::int64_t sequence_ = 0;
+    bool registered_ = false;
+    bool heard_ = false;
+    bool ready_ = false;
+    bool stopping_ = false;
+    TimePoint heard_at_{};
+    /// Fencing token of the last report, if the instance gives orders.
+    std::int64_t fencing_token_ = 0;
+  };
+
+  /// Records that the store lists `instance`.
+  auto Register(const std::string& instance, const std::string& address,
+                const std::string& callers) -> void;
+  /// Records that the store no longer lists `instance`.
+  auto Unregister(const std::string& instance) -> void;
+  /// Records a report. Returns false if it is older than one already taken.
+  [[nodiscard]] auto Hear(const PeerReport& report, TimePoint now) -> bool;
+  /// Forgets instances that are neither registered nor heard.
+  auto Expire(TimePoint now) -> void;
+
+  /// Returns the addresses for callers, `own` first if it is not empty.
+  [[nodiscard]] auto CallerAddresses(const std::string& own,
+                                     TimePoint now) const
+      -> std::vector<std::string>;
+  /// Returns the number of instances that are alive or may be, with this one.
+  [[nodiscard]] auto CountWithOwn() const -> std::size_t {
+    return instances_.size() + 1;
+  }
+  [[nodiscard]] auto instances() const
+      -> const std::map<std::string, Instance>& {
+    return instances_;
+  }
+
+ private:
+  std::map<std::string, Instance> instances_;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/model_demand.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cmath>
+#include <map>
+#include <string>
+
+#include "baobab_base/time_types.h"
+#include "baobab_gateway/work_item.h"
+
+namespace baobab::gateway {
+
+/// Work that arrives per model: prompt and output tokens per second, as a
+/// moving average that follows a shift of demand within about two seconds.
+class ModelDemand {
+ public:
+  /// Time constant of the average; demand of the sites moves over 4 to 6 s.
+  static constexpr auto kTimeConstant = std::chrono::milliseconds(1500);
+  /// A produced token costs an engine about as much as this many read ones:
+  /// one step of 4 ms for a batch of about ten, against 40 tokens a ms read.
+  static constexpr double kOutputWeight = 8;
+  /// Models whose demand is below this many tokens a second are dropped.
+  static constexpr double kNegligible = 1;
+
+  /// Counts a request.
+  auto OnRequest(const Generation& generation, TimePoint now) -> void {
+    const auto output = generation.output_expected_ > 0
+                            ? generation.output_expected_
+                            : generation.output_limit_;
+    auto& average = averages_[generation.model_];
+    Decay(average, now);
+    average.rate_ += (generation.prompt_tokens_ + kOutputWeight * output) /
+                     std::chrono::duration<double>(kTimeConstant).count();
+  }
+
+  /// Returns the demand by model, in tokens per second.
+  [[nodiscard]] auto Rates(TimePoint now) -> std::map<std::string, double> {
+    std::map<std::string, double> rates;
+    for (auto entry = averages_.begin(); entry != averages_.end();) {
+      Decay(entry->second, now);
+      if (entry->second.rate_ < kNegligible) {
+        entry = averages_.erase(entry);
+      } else {
+        rates[entry->first] = entry->second.rate_;
+        ++entry;
+      }
+    }
+    return rates;
+  }
+
+ private:
+  struct Average {
+    double rate_ = 0;
+    TimePoint at_{};
+  };
+
+  static auto Decay(Average& average, TimePoint now) -> void {
+    const std::chrono::duration<double> elapsed = now - average.at_;
+    average.rate_ *= std::exp(
+        -elapsed / std::chrono::duration<double>(kTimeConstant));
+    average.at_ = now;
+  }
+
+  std::map<std::string, Average> averages_;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/order_holder.h
@@ -0,0 +1,318 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "baobab_base/log.h"
+#include "baobab_base/metrics_registry.h"
+#include "baobab_base/random_source.h"
+#include "baobab_base/step_error.h"
+#include "baobab_gateway/boot_clock.h"
+#include "baobab_gateway/gateway_metrics.h"
+#include "baobab_gateway/holder_lease.h"
+#include "baobab_gateway/order_planner.h"
+#include "baobab_gateway/store_types.h"
+#include "baobab_targets/connection_pool.h"
+#include "baobab_targets/whole_exchange.h"
+
+namespace baobab::gateway {
+
+/// Competes for the right to give orders and, as its holder, carries out what
+/// OrderPlanner decides. Runs on the thread of its io_context.
+template <class Store, class Calls>
+class OrderHolder {
+ public:
+  /// Interval of planning while this instance is the holder.
+  static constexpr Duration kTick = std::chrono::milliseconds(50);
+  /// Time limit of a call to an engine.
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(600);
+  /// Largest report of an engine that is read.
+  static constexpr std::size_t kLargestReport = std::size_t{1} << 20;
+  /// Instances that see the right become free compete after a random time up
+  /// to this one, so that most of them see that another has it.
+  static constexpr Duration kContention = std::chrono::milliseconds(250);
+
+  OrderHolder(boost::asio::io_context& io, Store& store, std::string key,
+              std::string instance, Duration turn,
+              std::shared_ptr<ConnectionPool> pool, MetricsRegistry& metrics,
+              std::function<void()> on_changes)
+      : store_(store),
+        key_(std::move(key)),
+        instance_(std::move(instance)),
+        pool_(std::move(pool)),
+        metrics_(metrics),
+        on_changes_(std::move(on_changes)),
+        lease_(turn),
+        planner_(PlannerSettings()),
+        tick_(io),
+        compete_(io),
+        random_(std::random_device{}()) {
+    mark_ = instance_ + "/" + std::to_string(random_());
+  }
+
+  /// Starts to compete. Call once the state of the store is known.
+  auto Start() -> void {
+    if (!std::exchange(started_, true)) {
+      Compete();
+      Tick();
+    }
+  }
+
+  /// Gives the right back and competes no more.
+  auto Stop() -> void {
+    stopping_ = true;
+    if (lease_.is_held()) {
+      LogEvent(LogLevel::kInfo, "holder_released")
+          .With("fence", lease_.fencing_token());
+      lease_.Release();
+      store_.EndLease(lease_id_, [](const auto&) {});
+    }
+  }
+
+  /// Takes an item of the store with the holder's key.
+  auto OnItem(const StoreItem& item) -> void {
+    if (item.key_ != key_) {
+      return;
+    }
+    const bool own = !item.removed_ && item.value_ == mark_;
+    vacant_ = item.removed_;
+    if (own && !lease_.is_held() && !stopping_ && lease_id_ != 0) {
+      // The response to the change was lost, and the change took effect.
+      Acquired(item.revision_, grant_sent_);
+    } else if (!own && lease_.is_held() &&
+               item.revision_ > lease_.fencing_token()) {
+      Lost("taken_or_removed");
+    }
+    if (vacant_) {
+      Compete();
+    }
+  }
+
+  /// Plans at once, for example because a need was reported.
+  auto Pump() -> void {
+    const auto boot_now = BootTime();
+    if (lease_.is_held() && lease_.HasLapsed(boot_now)) {
+      Lost("not_renewed");
+    }
+    if (!lease_.MayOrder(boot_now)) {
+      return;
+    }
+    for (auto& action : planner_.Next(Now())) {
+      if (action.kind_ == PlannerAction::Kind::kOrder) {
+        GiveOrder(std::move(action.order_));
+      } else {
+        AskReport(action.target_);
+      }
+    }
+  }
+
+  [[nodiscard]] auto planner() -> OrderPlanner& { return planner_; }
+  [[nodiscard]] auto fencing_token() const -> std::int64_t {
+    return lease_.fencing_token();
+  }
+  auto SetRegistry(const TargetRegistry& registry) -> void {
+    registry_ = &registry;
+    planner_.SetTargets(registry, Now());
+  }
+
+ private:
+  [[nodiscard]] static auto Now() -> TimePoint {
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  }
+
+  auto Compete() -> void {
+    if (!started_ || stopping_ || lease_.is_held() || competing_ || !vacant_) {
+      return;
+    }
+    competing_ = true;
+    std::uniform_int_distribution<Duration::rep> draw(0, kContention.count());
+    compete_.expires_after(Duration(draw(random_)));
+    compete_.async_wait([this](boost::system::error_code error) {
+      competing_ = false;
+      if (!error && vacant_ && !stopping_) {
+        competing_ = true;
+        TakeLease();
+      }
+    });
+  }
+
+  auto TakeLease() -> void {
+    store_.GrantLease(HolderLease::kStoreTime, [this](auto result) {
+      if (std::holds_alternative<StoreFailure>(result) || stopping_) {
+        competing_ = false;
+        return;
+      }
+      lease_id_ = std::get<StoreLease>(result).id_;
+      grant_sent_ = BootTime();
+      StoreChange change;
+      change.expected_.push_back({key_, 0});
+      change.writes_.push_back({key_, mark_, lease_id_});
+      store_.Commit(change, [this](auto committed) {
+        competing_ = false;
+        if (const auto* revision = std::get_if<std::int64_t>(&committed)) {
+          vacant_ = false;
+          if (!lease_.is_held()) {
+            Acquired(*revision, grant_sent_);
+          }
+        } else if (std::get<StoreFailure>(committed) ==
+                   StoreFailure::kConflict) {
+          vacant_ = false;
+        }
+      });
+    });
+  }
+
+  auto Acquired(std::int64_t revision, Duration sent) -> void {
+    lease_.Acquire(revision, sent, BootTime());
+    planner_.Begin(/*may_have_loaded=*/true, Now());
+    LogEvent(LogLevel::kInfo, "holder_acquired").With("fence", revision);
+    next_renewal_ = BootTime() + HolderLease::kRenewInterval;
+  }
+
+  auto Lost(const char* reason) -> void {
+    LogEvent(LogLevel::kWarning, "holder_lost")
+        .With("fence", lease_.fencing_token())
+        .With("reason", reason);
+    lease_.Release();
+    // Others need not wait for the lease to run out.
+    store_.EndLease(lease_id_, [](const auto&) {});
+    lease_id_ = 0;
+  }
+
+  auto Renew() -> void {
+    const auto sent = BootTime();
+    next_renewal_ = sent + HolderLease::kRenewInterval;
+    const auto lease_id = lease_id_;
+    store_.KeepLease(lease_id, [this, sent, lease_id](auto result) {
+      if (lease_id != lease_id_ || !lease_.is_held()) {
+        return;
+      }
+      if (std::holds_alternative<StoreLease>(result)) {
+        lease_.Renew(sent);
+      } else if (std::get<StoreFailure>(result) == StoreFailure::kNoLease) {
+        Lost("lease_ended");
+      }
+    });
+  }
+
+  auto Tick() -> void {
+    tick_.expires_after(lease_.is_held() ? kTick : 4 * kTick);
+    tick_.async_wait([this](boost::system::error_code error) {
+      if (error) {
+        return;
+      }
+      if (lease_.is_held() && BootTime() >= next_renewal_) {
+        Renew();
+      }
+      Pump();
+      if (vacant_) {
+        Compete();
+      }
+      Tick();
+    });
+  }
+
+  auto GiveOrder(EngineOrder order) -> void {
+    order.holder_ = instance_;
+    order.fencing_token_ = lease_.fencing_token();
+    auto request = Calls::Encode(order);
+    Limit(request);
+    metrics_.Add("gateway_orders_total",
+                 Label("kind", order.kind_ == OrderKind::kLoad ? "load"
+                                                               : "unload"));
+    const auto finish = [this, order](OrderResult result, unsigned status) {
+      LogEvent(LogLevel::kInfo, "order_given")
+          .With("target", order.target_)
+          .With("kind", order.kind_ == OrderKind::kLoad ? "load" : "unload")
+          .With("model", order.model_)
+          .With("adapter", order.adapter_)
+          .With("expected_orders", order.expected_sequence_.value_or(-1))
+          .With("fence", order.fencing_token_)
+          .With("status", status);
+      planner_.OnOrderResult(order, result, Now());
+      on_changes_();
+    };
+    StartWholeExchange(pool_, std::move(request), kLargestReport,
+                       {[finish](const TargetResponse& response) {
+                          finish(Calls::Result(response.head_.status_),
+                                 response.head_.status_);
+                        },
+                        [finish](const AttemptFailure& failure) {
+                          finish(failure.outcome_ == Outcome::kNotRun
+                                     ? OrderResult::kRejected
+                                     : OrderResult::kUnknown,
+                                 0);
+                        }});
+  }
+
+  auto AskReport(const std::string& target) -> void {
+    const auto* entry =
+        registry_ == nullptr ? nullptr : registry_->Find(target);
+    if (entry == nullptr) {
+      planner_.OnReportFailed(target, Now());
+      return;
+    }
+    auto request =
+        Calls::ReportRequest(target, entry->registration_.endpoint_);
+    Limit(request);
+    StartWholeExchange(
+        pool_, std::move(request), kLargestReport,
+        {[this, target](const TargetResponse& response) {
+           try {
+             if (response.head_.status_ != 200) {
+               throw StepError("report", target,
+                               "status " +
+                                   std::to_string(response.head_.status_));
+             }
+             planner_.OnReport(
+                 target, Calls::DecodeReport(target, response.body_), Now());
+           } catch (const StepError& error) {
+             LogEvent(LogLevel::kWarning, "report_unreadable")
+                 .With("target", target)
+                 .With("reason", error.what());
+             planner_.OnReportFailed(target, Now());
+           }
+         },
+         [this, target](const AttemptFailure& failure) {
+           LogEvent(LogLevel::kInfo, "report_failed")
+               .With("target", target)
+               .With("reason", failure.reason_);
+           planner_.OnReportFailed(target, Now());
+         }});
+  }
+
+  static auto Limit(TargetRequest& request) -> void {
+    request.timeouts_ = {kCallTimeout, kCallTimeout, kCallTimeout,
+                         kCallTimeout};
+  }
+
+  Store& store_;
+  std::string key_;
+  std::string instance_;
+  std::string mark_;  // tells this process from earlier ones of the instance
+  std::shared_ptr<ConnectionPool> pool_;
+  MetricsRegistry& metrics_;
+  std::function<void()> on_changes_;
+  HolderLease lease_;
+  OrderPlanner planner_;
+  const TargetRegistry* registry_ = nullptr;
+  boost::asio::steady_timer tick_;
+  boost::asio::steady_timer compete_;
+  Random random_;
+  std::int64_t lease_id_ = 0;
+  Duration grant_sent_{};
+  Duration next_renewal_{};
+  bool started_ = false;
+  bool stopping_ = false;
+  bool competing_ = false;
+  bool vacant_ = true;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/order_planner.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "baobab_base/time_types.h"
+#include "baobab_gateway/dispatcher.h"
+#include "baobab_gateway/manifest.h"
+#include "baobab_gateway/order_types.h"
+#include "baobab_gateway/peer_report.h"
+#include "baobab_gateway/target_registry.h"
+
+namespace baobab::gateway {
+
+/// Bounds and weights of placement decisions.
+struct PlannerSettings {
+  Duration load_window_ = std::chrono::seconds(5);
+  /// Loads from the weight store per window, in multiples of the store's rate.
+  /// The tolerated excess is left for loads that start late.
+  double load_share_ = 1.0;
+  /// Demand of one copy, in weighted tokens per second, above which a model
+  /// gets another one: about a third of what an engine reads.
+  double busy_copy_ = 12'000;
+  /// A copy moves only if it serves at least this many times the demand that
+  /// the copy which makes way does. Prevents moves back and forth.
+  double move_gain_ = 2.0;
+  /// Time constant with which past demand is forgotten: a model that was busy
+  /// keeps copies until others need the room.
+  Duration memory_ = std::chrono::seconds(25);
+  /// Time for the announcement of a removal to reach all instances.
+  Duration removal_notice_ = std::chrono::milliseconds(250);
+  /// Time until a loaded adapter can be used; the platform states 5 to 10 ms.
+  Duration adapter_load_ = std::chrono::milliseconds(14);
+  /// Interval of reports of an engine that carries out an order.
+  Duration report_interval_ = std::chrono::milliseconds(300);
+  /// Time after which an adapter that nobody used may make way.
+  Duration adapter_idle_ = std::chrono::milliseconds(1500);
+};
+
+/// What the holder of orders does next.
+struct PlannerAction {
+  enum class Kind : std::uint8_t { kOrder, kReport };
+  Kind kind_ = Kind::kOrder;
+  std::string target_;
+  EngineOrder order_;  ///< Without holder and fencing token.
+};
+
+/// Decides which engine holds which models and adapters.
+///
+/// Every model keeps a copy. The places that remain go to the models with the
+/// largest demand per copy. Answers the shift of demand from some models to
+/// others, the crash of engines, which lose what they held, and orders that get
+/// no answer and are carried out late: an order names the number of orders that
+/// its engine must have accepted, and its memory counts until a report shows
+/// how it ended.
+class OrderPlanner {
+ public:
+  explicit OrderPlanner(PlannerSettings settings) : settings_(settings) {}
+
+  auto SetManifest(const Manifest& manifest) -> void;
+  auto SetTargets(const TargetRegistry& registry, TimePoint now) -> void;
+  /// Starts to plan: everything that was known of engines is read again.
+  /// `may_have_loaded`: another holder may just have used the load rate.
+  auto Begin(bool may_have_loaded, TimePoint now) -> void;
+
+  /// Records what an instance reports of demand and use.
+  auto OnPeer(const std::string& instance,
+              const std::map<std::string, double>& demand,
+              const std::vector<AdapterNeed>& needs,
+              const std::vector<AdapterUse>& uses, TimePoint now) -> void;
+
+  /// Returns what to do now. Each action is followed by one call of
+  /// OnOrderResult, OnReport or OnReportFailed.
+  [[nodiscard]] auto Next(TimePoint now) -> std::vector<PlannerAction>;
+
+  auto OnOrderResult(const EngineOrder& order, OrderResult result,
+                     TimePoint now) -> void;
+  auto OnReport(const std::string& target, const EngineReport& report,
+                TimePoint now) -> void;
+  auto OnReportFailed(const std::string& target, TimePoint now) -> void;
+
+  /// Changes of what targets hold, for the reports to peers, since `since`.
+  [[nodiscard]] auto ChangesSince(TimePoint since, TimePoint now) const
+      -> std::vector<HoldingChange>;
+
+ private:
+  struct ModelOrder {
+    OrderKind kind_ = OrderKind::kLoad;
+    std::string model_;
+    bool sent_ = false;      // an order may have been accepted
+    bool accepted_ = false;  // the engine said so
+    TimePoint not_before_{};
+    std::string then_load_;  // loaded when this removal is done
+  };
+  struct Server {
+    TargetRegistration registration_;
+    bool known_ = false;    // a report was read since Begin
+    bool calling_ = false;  // a call is in progress
+    std::map<std::string, std::set<std::string>> models_;
+    std::int64_t sequence_ = 0;
+    std::optional<ModelOrder> order_;
+    TimePoint next_report_{};
+    TimePoint next_adapter_{};
+    std::map<std::pair<std::string, std::string>, TimePoint> used_;
+    std::set<std::string> cached_;  // models with a copy in host memory or disk
+    int failed_reports_ = 0;
+  };
+  struct Change {
+    HoldingChange change_;
+    TimePoint from_{};
+  };
+  struct Demand {
+    double now_ = 0;
+    double remembered_ = 0;
+  };
+
+  [[nodiscard]] auto Engine(const std::string& service) const
+      -> const EngineSpec*;
+  [[nodiscard]] auto Spec(const EngineSpec& engine,
+                          const std::string& model) const -> const ModelSpec*;
+  [[nodiscard]] auto UsedMb(const Server& server, const EngineSpec& engine)
+      const -> double;
+  [[nodiscard]] auto AdapterCount(const Server& server) const -> std::size_t;
+  auto UpdateDemand(TimePoint now) -> void;
+  auto PlanModels(const std::string& service, const EngineSpec& engine,
+                  TimePoint now) -> void;
+  auto PlaceCopy(const std::string& service, const EngineSpec& engine,
+                 const std::string& model, bool missing, TimePoint now) -> bool;
+  auto PlanAdapters(TimePoint now, std::vector<PlannerAction>& actions) -> void;
+  auto Advance(const std::string& id, Server& server, TimePoint now,
+               std::vector<PlannerAction>& actions) -> void;
+  [[nodiscard]] auto MayLoadFromStore(const EngineSpec& engine, TimePoint now)
+      -> bool;
+  auto MakeOrder(const std::string& id, const Server& server, OrderKind kind,
+                 const std::string& model, const std::string& adapter) const
+      -> EngineOrder;
+  auto Announce(HoldingChange change, TimePoint from) -> void;
+
+  PlannerSettings settings_;
+  std::map<std::string, Service> services_;
+  std::map<std::string, Server> servers_;
+  std::map<std::string, std::pair<std::map<std::string, double>, TimePoint>>
+      demand_by_instance_;
+  std::map<std::string, Demand> demand_;
+  std::map<std::pair<std::string, std::string>, std::pair<AdapterNeed, TimePoint>>
+      needs_;
+  std::deque<TimePoint> store_loads_;
+  std::deque<Change> changes_;
+  std::map<std::string, std::int64_t> copies_;
+  TimePoint demand_at_{};
+  TimePoint next_plan_{};
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/peer_link.cc
@@ -0,0 +1,72 @@
+#include "baobab_gateway/peer_link.h"
+
+#include <boost/asio/buffer.hpp>
+#include <string_view>
+#include <utility>
+
+#include "baobab_base/log.h"
+#include "baobab_base/step_error.h"
+
+namespace baobab::gateway {
+
+PeerLink::PeerLink(boost::asio::io_context& io, const std::string& address,
+                   std::uint16_t port, Handler handler)
+    : socket_(io), port_(port), handler_(std::move(handler)) {
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(address, error);
+  if (!error) {
+    const Udp::endpoint endpoint(ip, port);
+    socket_.open(endpoint.protocol(), error);
+    if (!error) {
+      socket_.bind(endpoint, error);
+    }
+  }
+  if (error) {
+    throw StepError("peers.bind", address + ":" + std::to_string(port),
+                    error.message());
+  }
+  socket_.non_blocking(true);
+  Receive();
+}
+
+auto PeerLink::Send(const std::string& address, const std::string& text)
+    -> void {
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(address, error);
+  if (!error) {
+    // A datagram that cannot be sent now is lost like one on the way.
+    socket_.send_to(boost::asio::buffer(text), Udp::endpoint(ip, port_), 0,
+                    error);
+  }
+}
+
+auto PeerLink::Receive() -> void {
+  socket_.async_wait(
+      Udp::socket::wait_read, [this](boost::system::error_code error) {
+        if (error) {
+          return;
+        }
+        buffer_.resize(kLargest);
+        boost::system::error_code failed;
+        Udp::endpoint sender;
+        for (;;) {
+          const auto size = socket_.receive_from(boost::asio::buffer(buffer_),
+                                                 sender, 0, failed);
+          if (failed) {
+            break;
+          }
+          if (const auto report =
+                  DecodePeerReport(std::string_view(buffer_.data(), size))) {
+            handler_(*report);
+          } else {
+            ++unreadable_;
+            LogEvent(LogLevel::kWarning, "peer_report_unreadable")
+                .With("sender", sender.address().to_string())
+                .With("bytes", size);
+          }
+        }
+        Receive();
+      });
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/peer_report.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "baobab_gateway/dispatcher.h"
+#include "baobab_gateway/target_load.h"
+
+namespace baobab::gateway {
+
+/// A change of what a target holds, told by the holder of orders.
+struct HoldingChange {
+  std::string target_;
+  std::string model_;
+  std::string adapter_;  ///< Empty: the model itself.
+  bool removed_ = false;
+  auto operator==(const HoldingChange&) const -> bool = default;
+};
+
+/// What an instance tells its peers several times a second. Each report stands
+/// alone: reports may be lost, repeated or arrive out of order.
+struct PeerReport {
+  std::string instance_;
+  std::int64_t incarnation_ = 0;  ///< Drawn at random by each process.
+  std::int64_t sequence_ = 0;     ///< Rises with each report of a process.
+  std::string address_;           ///< IP address of the instance.
+  std::string callers_;           ///< Address for callers, "ip:port".
+  std::string zone_;
+  bool ready_ = false;     ///< Serves requests.
+  bool stopping_ = false;  ///< Must get no new callers.
+  std::int64_t manifest_version_ = 0;
+  std::int64_t store_revision_ = 0;
+  /// Fencing token, if it holds the right to give orders; else 0.
+  std::int64_t fencing_token_ = 0;
+  WorkByTarget work_;
+  std::map<std::string, double> demand_;  ///< Tokens per second by model.
+  std::vector<AdapterNeed> needs_;
+  std::vector<AdapterUse> uses_;
+  std::vector<HoldingChange> changes_;  ///< Recent ones, from the holder only.
+};
+
+/// Writes a report as JSON.
+[[nodiscard]] auto EncodePeerReport(const PeerReport& report) -> std::string;
+
+/// Reads a report. Returns nothing if it is not one.
+[[nodiscard]] auto DecodePeerReport(std::string_view text)
+    -> std::optional<PeerReport>;
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/prefix_memory.cc
@@ -0,0 +1,59 @@
+#include "baobab_gateway/prefix_memory.h"
+
+#include <cstring>
+
+#include "baobab_base/rendezvous_hash.h"
+
+namespace baobab::gateway {
+
+auto PrefixChain(const Generation& generation) -> std::vector<std::uint64_t> {
+  std::vector<std::uint64_t> chain;
+  chain.reserve(generation.parts_.size());
+  auto hash = HashKey(generation.adapter_, HashKey(generation.model_));
+  for (const auto& part : generation.parts_) {
+    std::string_view bytes(reinterpret_cast<const char*>(&part.id_),
+                           sizeof(part.id_));
+    hash = HashKey(bytes, hash);
+    chain.push_back(hash);
+  }
+  return chain;
+}
+
+auto PrefixMemory::Record(const std::vector<std::uint64_t>& chain,
+                          const std::vector<PromptPart>& parts) -> void {
+  // From the last part to the first, so that the most widely shared part is
+  // the most recently used one.
+  for (std::size_t i = chain.size(); i-- > 0;) {
+    const auto found = parts_.find(chain[i]);
+    if (found != parts_.end()) {
+      order_.splice(order_.begin(), order_, found->second);
+      continue;
+    }
+    order_.push_front({chain[i], parts[i].tokens_});
+    parts_[chain[i]] = order_.begin();
+    tokens_ += parts[i].tokens_;
+  }
+  while (tokens_ > capacity_ && !order_.empty()) {
+    tokens_ -= order_.back().tokens_;
+    parts_.erase(order_.back().hash_);
+    order_.pop_back();
+  }
+}
+
+auto PrefixMemory::KeptTokens(const std::vector<std::uint64_t>& chain,
+                              const std::vector<PromptPart>& parts) const
+    -> std::uint32_t {
+  std::uint32_t kept = 0;
+  for (std::size_t i = 0; i < chain.size() && parts_.count(chain[i]) > 0; ++i) {
+    kept += parts[i].tokens_;
+  }
+  return kept;
+}
+
+auto PrefixMemory::Clear() -> void {
+  order_.clear();
+  parts_.clear();
+  tokens_ = 0;
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/state_sync.h
@@ -0,0 +1,367 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <concepts>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "baobab_base/log.h"
+#include "baobab_base/random_source.h"
+#include "baobab_base/step_error.h"
+#include "baobab_base/time_types.h"
+#include "baobab_gateway/manifest.h"
+#include "baobab_gateway/store_types.h"
+#include "baobab_gateway/target_registry.h"
+#include "baobab_platform/jittered_backoff.h"
+
+namespace baobab::gateway {
+
+/// Reads the values that others write to the store.
+template <class C>
+concept StateTranslator = requires(const std::string& text) {
+  { C::ManifestKey() } -> std::same_as<std::string>;
+  { C::TargetPrefix() } -> std::same_as<std::string>;
+  { C::DecodeManifest(text) } -> std::same_as<Manifest>;
+  { C::DecodeTarget(text, text) } -> std::same_as<TargetRegistration>;
+};
+
+/// Keeps this instance's picture of the store: the manifest, the registered
+/// targets, and the items under the product's own prefix.
+///
+/// One watch covers everything. The picture only moves forward: a manifest of a
+/// lower version and an item of a lower revision are ignored, wherever they
+/// come from. Runs on the thread of its io_context.
+template <class Store, StateTranslator Codec>
+class StateSync {
+ public:
+  /// What changed; called after each batch of changes.
+  struct Handlers {
+    std::function<void(const std::shared_ptr<const Manifest>&)> on_manifest_;
+    std::function<void(const TargetRegistry&)> on_targets_;
+    std::function<void(const StoreItem&)> on_own_item_;
+  };
+
+  /// Longest wait of one watch. A connection that went silent hides changes for
+  /// this long, which together with the call's time limit is below the 3 s
+  /// after which the sites expect an undisturbed instance to know of changes.
+  static constexpr Duration kWatchWait = std::chrono::milliseconds(2500);
+  /// Pause between two watches. Changes that come in quick succession arrive
+  /// together; each call to the store is priced.
+  static constexpr Duration kWatchPause = std::chrono::milliseconds(200);
+  static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(800);
+
+  StateSync(boost::asio::io_context& io, Store& store, std::string own_prefix,
+            Handlers handlers)
+      : store_(store),
+        own_prefix_(std::move(own_prefix)),
+        handlers_(std::move(handlers)),
+        timer_(io),
+        expiry_(io),
+        backoff_(kFirstBackoff, kLongestBackoff),
+        random_(std::random_device{}()) {}
+
+  /// Starts to read the store.
+  auto Start() -> void { List(""); }
+
+  [[nodiscard]] auto manifest() const
+      -> const std::shared_ptr<const Manifest>& {
+    return manifest_;
+  }
+  [[nodiscard]] auto manifest_text() const -> const std::string& {
+    return manifest_text_;
+  }
+  [[nodiscard]] auto registry() const -> const TargetRegistry& {
+    return registry_;
+  }
+  [[nodiscard]] auto revision() const -> std::int64_t { return revision_; }
+  [[nodiscard]] auto is_connected() const -> bool { return connected_; }
+  /// Returns true once a manifest and the targets are known.
+  [[nodiscard]] auto is_complete() const -> bool {
+    return manifest_ != nullptr && listed_;
+  }
+  /// The raw registrations, for peers that start while the store is away.
+  [[nodiscard]] auto raw_targets() const
+      -> const std::map<std::string, std::pair<std::string, std::int64_t>>& {
+    return raw_targets_;
+  }
+
+  /// Takes state from a peer. It is used only where it is newer.
+  auto AdoptManifest(const std::string& text) -> void {
+    TakeManifest(text, "peer");
+  }
+  auto AdoptTarget(const std::string& id, const std::string& text,
+                   std::int64_t revision) -> void {
+    const auto known = raw_targets_.find(id);
+    if (known == raw_targets_.end() || known->second.second < revision) {
+      TakeTarget(id, text, revision);
+      targets_changed_ = true;
+    }
+  }
+  /// Ends a batch of Adopt calls.
+  auto FinishAdoption() -> void {
+    listed_ = listed_ || !raw_targets_.empty();
+    Announce();
+  }
+
+ private:
+  [[nodiscard]] static auto Now() -> TimePoint {
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  }
+
+  auto List(const std::string& after) -> void {
+    if (after.empty()) {
+      seen_targets_.clear();
+      seen_own_.clear();
+      list_revision_ = 0;
+    }
+    store_.Range("", after, [this](auto result) {
+      if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+        OnFailure("list", *failure);
+        Later(backoff_.Next(random_), [this] { List(""); });
+        return;
+      }
+      OnPage(std::get<StoreListing>(result));
+    });
+  }
+
+  auto OnPage(const StoreListing& page) -> void {
+    // Pages are not a snapshot; changes since the first one are read again by
+    // the watch that follows.
+    if (list_revision_ == 0) {
+      list_revision_ = page.revision_;
+    }
+    for (const auto& item : page.items_) {
+      Take(item, /*listing=*/true);
+    }
+    if (page.has_more_ && !page.items_.empty()) {
+      List(page.items_.back().key_);
+      return;
+    }
+    const bool after_outage = OnContact();
+    registry_.Reconcile(seen_targets_, list_revision_, after_outage, Now());
+    std::erase_if(raw_targets_, [this](const auto& item) {
+      return registry_.Find(item.first) == nullptr;
+    });
+    for (auto key = own_keys_.begin(); key != own_keys_.end();) {
+      if (seen_own_.count(*key) > 0) {
+        ++key;
+        continue;
+      }
+      StoreItem removed;
+      removed.key_ = *key;
+      removed.revision_ = list_revision_;
+      removed.removed_ = true;
+      key = own_keys_.erase(key);
+      handlers_.on_own_item_(removed);
+    }
+    revision_ = list_revision_;
+    listed_ = true;
+    targets_changed_ = true;
+    Announce();
+    if (after_outage) {
+      ExpireLater();
+    }
+    Watch();
+  }
+
+  auto Watch() -> void {
+    store_.Watch("", revision_, kWatchWait, [this](auto result) {
+      if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+        if (*failure == StoreFailure::kHistoryGone) {
+          LogEvent(LogLevel::kInfo, "store_history_gone")
+              .With("revision", revision_);
+          List("");
+          return;
+        }
+        OnFailure("watch", *failure);
+        Later(backoff_.Next(random_), [this] { Watch(); });
+        return;
+      }
+      const auto& listing = std::get<StoreListing>(result);
+      if (OnContact()) {
+        grace_until_ = Now() + TargetRegistry::kLapseGrace;
+      }
+      for (const auto& item : listing.items_) {
+        Take(item, /*listing=*/false);
+      }
+      revision_ = std::max(revision_, listing.revision_);
+      Announce();
+      if (listing.items_.empty()) {
+        Watch();
+      } else {
+        Later(kWatchPause, [this] { Watch(); });
+      }
+    });
+  }
+
+  auto Take(const StoreItem& item, bool listing) -> void {
+    const auto prefix = Codec::TargetPrefix();
+    if (item.key_ == Codec::ManifestKey()) {
+      if (!item.removed_) {
+        TakeManifest(item.value_, "store");
+      }
+    } else if (item.key_.starts_with(prefix)) {
+      const auto id = item.key_.substr(prefix.size());
+      targets_changed_ = true;
+      if (!item.removed_) {
+        seen_targets_.insert(id);
+        TakeTarget(id, item.value_, item.revision_);
+      } else if (Now() < grace_until_) {
+        registry_.Lapse(id, item.revision_, grace_until_);
+        ExpireLater();
+      } else {
+        LogEvent(LogLevel::kInfo, "target_gone")
+            .With("target", id)
+            .With("revision", item.revision_);
+        registry_.Remove(id, item.revision_);
+        raw_targets_.erase(id);
+      }
+    } else if (item.key_.starts_with(own_prefix_)) {
+      if (item.removed_) {
+        own_keys_.erase(item.key_);
+      } else {
+        own_keys_.insert(item.key_);
+      }
+      if (listing) {
+        seen_own_.insert(item.key_);
+      }
+      handlers_.on_own_item_(item);
+    }
+  }
+
+  auto TakeManifest(const std::string& text, const char* source) -> void {
+    if (text == manifest_text_) {
+      return;
+    }
+    try {
+      auto manifest = std::make_shared<Manifest>(Codec::DecodeManifest(text));
+      if (manifest_ && manifest->version_ <= manifest_->version_) {
+        return;
+      }
+      LogEvent(LogLevel::kInfo, "manifest_applied")
+          .With("version", manifest->version_)
+          .With("previous", manifest_ ? manifest_->version_ : 0)
+          .With("routes", manifest->routes_.size())
+          .With("source", source);
+      manifest_ = std::move(manifest);
+      manifest_text_ = text;
+      manifest_changed_ = true;
+    } catch (const StepError& error) {
+      LogEvent(LogLevel::kError, "manifest_unreadable")
+          .With("source", source)
+          .With("reason", error.what());
+    }
+  }
+
+  auto TakeTarget(const std::string& id, const std::string& text,
+                  std::int64_t revision) -> void {
+    try {
+      auto registration = Codec::DecodeTarget(id, text);
+      const auto* known = registry_.Find(id);
+      if (known == nullptr ||
+          known->registration_.leaving_ != registration.leaving_) {
+        LogEvent(LogLevel::kInfo, "target_registered")
+            .With("target", id)
+            .With("service", registration.service_)
+            .With("leaving", registration.leaving_ ? "yes" : "no")
+            .With("revision", revision);
+      }
+      registry_.Put(std::move(registration), revision);
+      raw_targets_[id] = {text, revision};
+    } catch (const StepError& error) {
+      LogEvent(LogLevel::kWarning, "registration_unreadable")
+          .With("target", id)
+          .With("revision", revision)
+          .With("reason", error.what());
+      registry_.Discard(id);
+      raw_targets_.erase(id);
+    }
+  }
+
+  auto Announce() -> void {
+    if (std::exchange(manifest_changed_, false)) {
+      handlers_.on_manifest_(manifest_);
+      targets_changed_ = true;
+    }
+    if (listed_ && std::exchange(targets_changed_, false)) {
+      handlers_.on_targets_(registry_);
+    }
+  }
+
+  auto OnFailure(const char* call, StoreFailure failure) -> void {
+    if (std::exchange(connected_, false)) {
+      lost_ = true;
+      LogEvent(LogLevel::kWarning, "store_lost")
+          .With("call", call)
+          .With("failure", ToString(failure));
+    }
+  }
+
+  /// Records an answer of the store. Returns true if it is the first one after
+  /// an outage.
+  auto OnContact() -> bool {
+    backoff_.Reset();
+    if (!std::exchange(connected_, true)) {
+      LogEvent(LogLevel::kInfo, "store_reached").With("revision", revision_);
+    }
+    return std::exchange(lost_, false);
+  }
+
+  auto ExpireLater() -> void {
+    expiry_.expires_after(TargetRegistry::kLapseGrace);
+    expiry_.async_wait([this](boost::system::error_code error) {
+      if (!error && registry_.Expire(Now())) {
+        std::erase_if(raw_targets_, [this](const auto& item) {
+          return registry_.Find(item.first) == nullptr;
+        });
+        targets_changed_ = true;
+        Announce();
+      }
+    });
+  }
+
+  template <class Action>
+  auto Later(Duration delay, Action action) -> void {
+    timer_.expires_after(delay);
+    timer_.async_wait([action](boost::system::error_code error) {
+      if (!error) {
+        action();
+      }
+    });
+  }
+
+  Store& store_;
+  std::string own_prefix_;
+  Handlers handlers_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer expiry_;
+  platform::JitteredBackoff backoff_;
+  Random random_;
+  std::shared_ptr<const Manifest> manifest_;
+  std::string manifest_text_;
+  TargetRegistry registry_;
+  std::map<std::string, std::pair<std::string, std::int64_t>> raw_targets_;
+  std::set<std::string> seen_targets_;
+  std::set<std::string> seen_own_;
+  std::set<std::string> own_keys_;
+  TimePoint grace_until_{};
+  std::int64_t revision_ = 0;
+  std::int64_t list_revision_ = 0;
+  bool manifest_changed_ = false;
+  bool targets_changed_ = false;
+  bool listed_ = false;
+  bool connected_ = false;
+  bool lost_ = false;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/target_load.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "baobab_base/time_types.h"
+
+namespace baobab::gateway {
+
+/// Work that one instance has in progress at one target.
+struct TargetWork {
+  std::uint32_t running_ = 0;          ///< Requests sent and not finished.
+  std::uint32_t cache_tokens_ = 0;     ///< Their prompt and expected output.
+  std::uint32_t prefill_tokens_ = 0;   ///< Prompt tokens not yet read.
+
+  auto operator+=(const TargetWork& other) -> TargetWork& {
+    running_ += other.running_;
+    cache_tokens_ += other.cache_tokens_;
+    prefill_tokens_ += other.prefill_tokens_;
+    return *this;
+  }
+  auto operator==(const TargetWork&) const -> bool = default;
+};
+
+/// Work in progress by target id.
+using WorkByTarget = std::map<std::string, TargetWork>;
+
+/// The work of all other instances, from their last reports.
+class PeerLoad {
+ public:
+  /// A report older than this no longer counts: its sender is gone or cut off,
+  /// and most of the work in it has ended.
+  static constexpr Duration kReportAge = std::chrono::milliseconds(1500);
+
+  /// Replaces the report of `peer`.
+  auto Update(const std::string& peer, WorkByTarget work, TimePoint now)
+      -> void {
+    reports_[peer] = {std::move(work), now};
+  }
+
+  /// Forgets the reports that are too old.
+  auto Expire(TimePoint now) -> void {
+    std::erase_if(reports_, [now](const auto& item) {
+      return now - item.second.at_ > kReportAge;
+    });
+  }
+
+  /// Returns the work of all peers at `target`.
+  [[nodiscard]] auto At(const std::string& target) const -> TargetWork {
+    TargetWork total;
+    for (const auto& [peer, report] : reports_) {
+      const auto found = report.work_.find(target);
+      if (found != report.work_.end()) {
+        total += found->second;
+      }
+    }
+    return total;
+  }
+
+ private:
+  struct Report {
+    WorkByTarget work_;
+    TimePoint at_{};
+  };
+  std::map<std::string, Report> reports_;
+};
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/work_item.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "baobab_base/time_types.h"
+
+namespace baobab::gateway {
+
+/// Number of a request within one process; never reused.
+using WorkId = std::uint64_t;
+
+/// A part of a prompt that other requests may share.
+struct PromptPart {
+  std::uint64_t id_ = 0;
+  std::uint32_t tokens_ = 0;
+};
+
+/// What a request asks of a model.
+struct Generation {
+  std::string model_;
+  std::string adapter_;  ///< Empty: the base model.
+  std::uint32_t prompt_tokens_ = 0;
+  std::uint32_t output_limit_ = 0;     ///< Largest number of output tokens.
+  std::uint32_t output_expected_ = 0;  ///< The caller's estimate; 0: none.
+  std::vector<PromptPart> parts_;  ///< In order; the last one is its own.
+};
+
+/// A request as the dispatch decision sees it.
+struct WorkItem {
+  WorkId id_ = 0;
+  std::string service_;
+  Generation generation_;  ///< An empty model: a plain service call.
+  int priority_ = 0;       ///< 0 is the most urgent.
+  TimePoint arrived_{};
+  TimePoint objective_at_{};  ///< The response should have begun by then.
+  TimePoint limit_at_{};      ///< No response is of use after that.
+  std::set<std::string> excluded_;  ///< Targets that already failed it.
+  bool resumed_ = false;  ///< Its caller has already received a part.
+};
+
+}  // namespace baobab::gateway
--- a/modules/baobab_http/caller_session.cc
+++ b/modules/baobab_http/caller_session.cc
@@ -48,6 +48,7 @@
   const std::string target(message.target().data(), message.target().size());
   const auto question = target.find('?');
   request.path_ = target.substr(0, question);
+  request.target_ = target;
   if (question != std::string::npos) {
     request.query_ = target.substr(question + 1);
   }
--- a/modules/baobab_http/caller_session_write.cc
+++ b/modules/baobab_http/caller_session_write.cc
@@ -30,9 +30,11 @@
   http::response<http::empty_body> message;
   message.result(head.status_);
   message.version(11);
-  message.set(http::field::content_type, head.content_type_);
+  if (!head.content_type_.empty()) {
+    message.set(http::field::content_type, head.content_type_);
+  }
   for (const auto& header : head.headers_) {
-    message.set(header.name_, header.value_);
+    message.insert(header.name_, header.value_);
   }
   if (length) {
     message.content_length(*length);
--- a/modules/baobab_http/http_message.h
+++ b/modules/baobab_http/http_message.h
@@ -22,6 +22,7 @@
   std::string method_;  ///< Upper case, for example "POST".
   std::string path_;    ///< Without the query.
   std::string query_;   ///< After '?', still percent-encoded.
+  std::string target_;  ///< Path and query exactly as received.
   std::vector<HttpHeader> headers_;
   std::string body_;
   std::string caller_address_;  ///< IP address without port.
--- a/modules/baobab_http/http_server.cc
+++ b/modules/baobab_http/http_server.cc
@@ -225,6 +225,10 @@
   }
 }
 
+auto HttpServer::CloseAfterResponses() -> void {
+  implementation_->closing_ = true;
+}
+
 auto HttpServer::StopAccepting() -> void { implementation_->StopAccepting(); }
 
 auto HttpServer::CloseAll() -> void { implementation_->CloseAll(); }
--- a/modules/baobab_http/http_server.h
+++ b/modules/baobab_http/http_server.h
@@ -68,6 +68,11 @@
   /// not take it for a whole one.
   auto AbortStream(ExchangeId exchange) -> void;
 
+  /// Keeps accepting, but announces the end of each connection in its next
+  /// response. Connections without a request stay open, so that a request that
+  /// is already on its way still gets its answer.
+  auto CloseAfterResponses() -> void;
+
   /// Refuses new connections and closes each session after its response.
   auto StopAccepting() -> void;
 
--- a/modules/baobab_targets/connection_pool.cc
+++ b/modules/baobab_targets/connection_pool.cc
@@ -1,5 +1,6 @@
 #include "baobab_targets/connection_pool.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <utility>
@@ -34,7 +35,7 @@
     // The newest connection is the least likely to be closed by the target.
     auto idle = std::move(connections.back());
     connections.pop_back();
-    if (std::chrono::steady_clock::now() - idle.since_ < idle_time_ &&
+    if (std::chrono::steady_clock::now() < idle.until_ &&
         IsUsable(idle.socket_)) {
       taken = std::move(idle.socket_);
     }
@@ -46,21 +47,27 @@
 }
 
 auto ConnectionPool::Return(const TargetEndpoint& endpoint,
-                            asio::ip::tcp::socket socket) -> void {
+                            asio::ip::tcp::socket socket,
+                            std::optional<Duration> target_idle_time) -> void {
   auto& connections = idle_[endpoint];
-  connections.push_back({std::move(socket), std::chrono::steady_clock::now()});
+  // Half of the target's time leaves room for a request on its way while the
+  // target closes.
+  const auto idle_time =
+      target_idle_time ? std::min(idle_time_, *target_idle_time / 2)
+                       : idle_time_;
+  connections.push_back(
+      {std::move(socket), std::chrono::steady_clock::now() + idle_time});
   if (connections.size() > idle_per_target_) {
     connections.pop_front();
   }
 }
 
 auto ConnectionPool::DropExpired() -> void {
-  const auto oldest = std::chrono::steady_clock::now() - idle_time_;
+  const auto now = std::chrono::steady_clock::now();
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     auto& connections = entry->second;
-    while (!connections.empty() && connections.front().since_ < oldest) {
-      connections.pop_front();
-    }
+    std::erase_if(connections,
+                  [now](const Idle& idle) { return idle.until_ <= now; });
     entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
   }
 }
--- a/modules/baobab_targets/connection_pool.h
+++ b/modules/baobab_targets/connection_pool.h
@@ -27,9 +27,11 @@
   [[nodiscard]] auto Take(const TargetEndpoint& endpoint)
       -> std::optional<boost::asio::ip::tcp::socket>;
 
-  /// Keeps `socket` for a later request.
+  /// Keeps `socket` for a later request, for less than `target_idle_time` if
+  /// the target said when it closes idle connections.
   auto Return(const TargetEndpoint& endpoint,
-              boost::asio::ip::tcp::socket socket) -> void;
+              boost::asio::ip::tcp::socket socket,
+              std::optional<Duration> target_idle_time = std::nullopt) -> void;
 
   /// Closes the idle connections to `endpoint`, for example after one of them
   /// went silent.
@@ -46,7 +48,7 @@
  private:
   struct Idle {
     boost::asio::ip::tcp::socket socket_;
-    std::chrono::steady_clock::time_point since_;
+    std::chrono::steady_clock::time_point until_;
   };
   boost::asio::io_context& io_;
   std::size_t idle_per_target_;
--- a/modules/baobab_targets/target_exchange.cc
+++ b/modules/baobab_targets/target_exchange.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <limits>
 #include <optional>
 #include <sstream>
@@ -27,7 +28,7 @@
 using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+constexpr std::size_t kReadBytes = std::size_t{4} * 1024;
 constexpr std::uint32_t kHeaderBytes = 16 * 1024;
 
 auto Serialize(const TargetRequest& request) -> std::string {
@@ -37,7 +38,11 @@
   message.version(11);
   message.set(http::field::host, request.endpoint_.ToString());
   for (const auto& [name, value] : request.headers_) {
-    message.set(name, value);
+    if (boost::beast::iequals(name, "Host")) {
+      message.set(http::field::host, value);
+    } else {
+      message.insert(name, value);
+    }
   }
   if (!request.body_.empty() || request.method_ != "GET") {
     message.content_length(request.body_.size());
@@ -47,6 +52,21 @@
   return out.str() + request.body_;
 }
 
+/// Returns the time after which the target closes an idle connection, if its
+/// response says so (`Keep-Alive: timeout=<seconds>`).
+auto KeepAliveTime(const TargetResponseHead& head) -> std::optional<Duration> {
+  const auto value = head.Header("Keep-Alive");
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto found = value.find(kTimeout);
+  if (found == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const auto* begin = value.data() + found + kTimeout.size();
+  std::from_chars(begin, value.data() + value.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 class Exchange : public TargetExchange,
                  public std::enable_shared_from_this<Exchange> {
  public:
@@ -58,8 +78,7 @@
         socket_(pool_->io()),
         deadline_(pool_->io()),
         buffer_(kHeaderBytes + kReadBytes) {
-    parser_.header_limit(kHeaderBytes);
-    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+    ResetParser();
   }
 
   auto Begin() -> void;
@@ -67,6 +86,7 @@
   auto Pause(bool paused) -> void override;
 
  private:
+  auto ResetParser() -> void;
   auto Connect() -> void;
   auto Send() -> void;
   auto OnSent(Error error, std::size_t bytes) -> void;
@@ -85,7 +105,7 @@
   Tcp::socket socket_;
   asio::steady_timer deadline_;
   boost::beast::flat_buffer buffer_;
-  http::response_parser<http::buffer_body> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
   std::array<char, kReadBytes> piece_{};
   std::string outgoing_;
   std::size_t sent_ = 0;
@@ -93,12 +113,20 @@
   // a connected socket and has not been seen to fail with none written.
   bool bytes_left_ = false;
   bool write_pending_ = false;
+  std::optional<Duration> keep_alive_time_;
   bool paused_ = false;
   bool reading_ = false;
   bool timed_out_ = false;
+  bool skipping_ = false;  // the response being read answers another request
   bool ended_ = false;
 };
 
+auto Exchange::ResetParser() -> void {
+  parser_.emplace();
+  parser_->header_limit(kHeaderBytes);
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
 auto Exchange::Begin() -> void {
   outgoing_ = Serialize(request_);
   request_.body_.clear();
@@ -175,7 +203,11 @@
   if (ended_) {
     return;
   }
-  if (error) {
+  if (error && bytes_left_) {
+    // The target may have answered before it read the whole request.
+    sent_ = outgoing_.size();
+    ReadHead();
+  } else if (error) {
     Fail("send", error);
   } else if (sent_ < outgoing_.size()) {
     Send();
@@ -188,7 +220,7 @@
 auto Exchange::ReadHead() -> void {
   Arm(request_.timeouts_.head_);
   http::async_read_header(
-      socket_, buffer_, parser_,
+      socket_, buffer_, *parser_,
       [self = shared_from_this()](Error error, std::size_t) {
         if (self->ended_) {
           return;
@@ -203,22 +235,28 @@
 
 auto Exchange::OnHead() -> void {
   TargetResponseHead head;
-  head.status_ = parser_.get().result_int();
-  for (const auto& field : parser_.get()) {
+  head.status_ = parser_->get().result_int();
+  for (const auto& field : parser_->get()) {
     head.headers_.emplace_back(
         std::string(field.name_string().data(), field.name_string().size()),
         std::string(field.value().data(), field.value().size()));
   }
-  if (events_.on_head_) {
+  skipping_ = false;
+  if (!request_.echo_header_.empty()) {
+    const auto echoed = head.Header(request_.echo_header_);
+    skipping_ = !echoed.empty() && echoed != request_.echo_value_;
+  }
+  if (!skipping_ && events_.on_head_) {
     events_.on_head_(head);
   }
+  keep_alive_time_ = KeepAliveTime(head);
   if (!ended_) {
     ReadBody();
   }
 }
 
 auto Exchange::ReadBody() -> void {
-  if (parser_.is_done()) {
+  if (parser_->is_done()) {
     End();
     return;
   }
@@ -230,10 +268,10 @@
     return;
   }
   reading_ = true;
-  parser_.get().body().data = piece_.data();
-  parser_.get().body().size = piece_.size();
+  parser_->get().body().data = piece_.data();
+  parser_->get().body().size = piece_.size();
   Arm(request_.timeouts_.body_);
-  http::async_read_some(socket_, buffer_, parser_,
+  http::async_read_some(socket_, buffer_, *parser_,
                         [self = shared_from_this()](Error error, std::size_t) {
                           self->reading_ = false;
                           if (!self->ended_) {
@@ -247,8 +285,8 @@
     Fail("receive", error);
     return;
   }
-  const auto size = piece_.size() - parser_.get().body().size;
-  if (size > 0 && events_.on_data_) {
+  const auto size = piece_.size() - parser_->get().body().size;
+  if (size > 0 && !skipping_ && events_.on_data_) {
     events_.on_data_(std::string_view(piece_.data(), size));
   }
   if (!ended_) {
@@ -257,12 +295,21 @@
 }
 
 auto Exchange::End() -> void {
+  if (skipping_ && parser_->keep_alive()) {
+    ResetParser();
+    ReadHead();
+    return;
+  }
+  if (skipping_) {
+    Fail("receive", http::error::end_of_stream);
+    return;
+  }
   ended_ = true;
   deadline_.cancel();
   // Bytes after the response belong to no request: such a connection is not
   // used again.
-  if (parser_.keep_alive() && buffer_.size() == 0) {
-    pool_->Return(request_.endpoint_, std::move(socket_));
+  if (parser_->keep_alive() && buffer_.size() == 0) {
+    pool_->Return(request_.endpoint_, std::move(socket_), keep_alive_time_);
   }
   if (events_.on_end_) {
     events_.on_end_();
@@ -298,7 +345,7 @@
 
 auto Exchange::Pause(bool paused) -> void {
   if (std::exchange(paused_, paused) == paused || ended_ || paused ||
-      !parser_.is_header_done()) {
+      !parser_->is_header_done()) {
     return;
   }
   // Posted, so that no event arrives from within this call.
--- a/modules/baobab_targets/target_exchange.h
+++ b/modules/baobab_targets/target_exchange.h
@@ -38,6 +38,11 @@
   /// costs much: a pooled connection may have been closed by the target in the
   /// meantime, which shows only after bytes have left.
   bool new_connection_ = false;
+  /// Name of a header that the target echoes, and the value sent in it. A
+  /// response with another value answers an earlier request and is skipped.
+  /// Empty: responses are not matched.
+  std::string echo_header_;
+  std::string echo_value_;
 };
 
 /// Head of a target's response.
