--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -52,7 +52,7 @@
   static constexpr Duration kDirectoryAge = std::chrono::seconds(2);
   /// Least time from the stop signal to the end of the process: callers with
   /// an earlier answer of the directory still connect.
-  static constexpr Duration kStopLinger = std::chrono::milliseconds(3000);
+  static constexpr Duration kStopLinger = std::chrono::milliseconds(2500);
   /// Part of the grace period that is left unused before the process would be
   /// killed.
   static constexpr Duration kStopReserve = std::chrono::milliseconds(700);
@@ -497,6 +497,9 @@
 
   auto CheckStop() -> void {
     const auto elapsed = Now() - stop_at_;
+    if (elapsed >= kStopLinger && !std::exchange(refusing_, true)) {
+      gateway_.RefuseNew();
+    }
     if ((gateway_.active() == 0 && elapsed >= kStopLinger) ||
         elapsed >= settings_.stop_grace_ - kStopReserve) {
       LogEvent(LogLevel::kInfo, "instance_stopped")
@@ -539,6 +542,7 @@
   std::int64_t registration_lease_ = 0;
   TimePoint stop_at_{};
   bool stopping_ = false;
+  bool refusing_ = false;
   bool urgent_pending_ = false;
 };
 
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -494,8 +494,10 @@
     } else if (done) {
       adapters.erase(order.adapter_);
     } else {
-      server.known_ = false;  // read what the engine holds before going on
-      server.next_report_ = now;
+      // Reads what the engine holds before going on, once its report shows it.
+      server.known_ = false;
+      server.next_report_ = now + settings_.report_interval_;
+      server.used_[{order.model_, order.adapter_}] = now;
     }
     return;
   }
@@ -526,11 +528,13 @@
   server.calling_ = false;
   server.failed_reports_ = 0;
   server.next_report_ = now + settings_.report_interval_;
-  // A report may be older than the last order that the engine accepted.
-  if (server.known_ && report.orders_accepted_ < server.sequence_ &&
-      server.order_) {
+  // A report is some hundred ms old: it may lack the last orders that the
+  // engine accepted. A restarted engine counts from zero.
+  const bool same_start = report.born_ms_ == server.report_born_ms_;
+  if (same_start && report.orders_accepted_ < server.sequence_) {
     return;
   }
+  server.report_born_ms_ = report.born_ms_;
   server.sequence_ = report.orders_accepted_;
   server.models_.clear();
   for (const auto& model : report.models_) {
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -103,6 +103,7 @@
     bool calling_ = false;  // a call is in progress
     std::map<std::string, std::set<std::string>> models_;
     std::int64_t sequence_ = 0;
+    std::int64_t report_born_ms_ = 0;  // start of the engine that reported
     std::optional<ModelOrder> order_;
     TimePoint next_report_{};
     TimePoint next_adapter_{};
--- a/modules/baobab_gateway/order_types.h
+++ b/modules/baobab_gateway/order_types.h
@@ -42,6 +42,7 @@
   std::vector<ResidentModel> models_;
   bool busy_ = false;  ///< An order for a model is in progress.
   std::int64_t orders_accepted_ = 0;
+  std::int64_t born_ms_ = 0;  ///< Unix time of its start; 0 if not stated.
 };
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -115,6 +115,13 @@
   /// Announces the end of each connection in its next response.
   auto BeginStop() -> void { server_.CloseAfterResponses(); }
 
+  /// Refuses new connections, and requests that still arrive on open ones: this
+  /// instance may end before they do.
+  auto RefuseNew() -> void {
+    refusing_ = true;
+    server_.StopAccepting();
+  }
+
   /// Requests without a final response.
   [[nodiscard]] auto active() const -> std::size_t { return active_.size(); }
   [[nodiscard]] auto dispatcher() -> Dispatcher& { return dispatcher_; }
@@ -183,6 +190,11 @@
              kNoManifestRetry);
       return;
     }
+    if (refusing_) {
+      Refuse(exchange, facts.id_, RefusalReason::kNotRun, "stopping",
+             kStoppingRetry);
+      return;
+    }
     if (facts.id_.empty()) {
       Refuse(exchange, "", RefusalReason::kMalformed, "no_request_id", {});
       return;
@@ -590,6 +602,8 @@
 
   /// A starting instance has its manifest after a few store calls.
   static constexpr Duration kNoManifestRetry = std::chrono::milliseconds(300);
+  /// Another instance serves the request at once.
+  static constexpr Duration kStoppingRetry = std::chrono::milliseconds(20);
   /// About the time in which a target's place becomes free or another target
   /// takes over.
   static constexpr Duration kDefaultRetry = std::chrono::milliseconds(300);
@@ -601,6 +615,7 @@
   boost::asio::steady_timer timer_;
   TimePoint armed_ = TimePoint::max();
   bool pump_soon_ = false;
+  bool refusing_ = false;
   std::shared_ptr<const Manifest> manifest_;
   RouteTable routes_;
   const TargetRegistry* registry_ = nullptr;
