--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -249,12 +249,13 @@
                            std::min(kept, generation.prompt_tokens_));
     const auto first_token = Duration(busy.prefill_us_) + prefill;
     Duration estimate;
+    Duration step{};
     if (generation.model_.empty()) {
       estimate = kPlainCall * (busy.running_ + 1) /
                  std::max<std::size_t>(1, target->registration_.slots_);
     } else {
-      const auto rest =
-          StepTime(generation.model_, busy) * OutputTokens(generation);
+      step = StepTime(generation.model_, busy);
+      const auto rest = step * OutputTokens(generation);
       estimate = first_token + Scaled(rest, settings_.completion_weight_) +
                  Scaled(prefill * busy.running_, settings_.hold_up_weight_);
     }
@@ -267,6 +268,9 @@
       choice.target_ = target;
       choice.estimate_ = estimate;
       choice.prefill_ = prefill;
+      choice.first_token_ = first_token;
+      choice.step_ = step;
+      choice.busy_ = busy;
       choice.ahead_tokens_ =
           speed_.TokensIn(generation.model_, first_token);
     }
@@ -358,7 +362,8 @@
     }
     ++starts_;
     assignments.push_back(
-        {item->id_, choice.target_->registration_.id_, choice.estimate_});
+        {item->id_, choice.target_->registration_.id_, choice.estimate_,
+         choice.first_token_, choice.step_, choice.busy_});
     Send(*item, choice, now);
   }
   for (const auto& assignment : assignments) {
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -54,7 +54,10 @@
 struct Assignment {
   WorkId id_ = 0;
   std::string target_;
-  Duration predicted_{};  ///< Expected time to the first token.
+  Duration predicted_{};  ///< Weighed cost by which the target was chosen.
+  Duration first_token_{};  ///< Expected time to the first token.
+  Duration step_{};         ///< Expected time per token after it.
+  TargetWork busy_;         ///< Work at the target before this request.
 };
 
 /// A request that cannot be served in time; it has not been sent.
@@ -172,6 +175,9 @@
     Target* target_ = nullptr;
     Duration estimate_ = Duration::max();
     Duration prefill_{};
+    Duration first_token_{};
+    Duration step_{};
+    TargetWork busy_;
     std::uint64_t ahead_tokens_ = 0;
   };
 
--- a/modules/baobab_gateway/model_demand.h
+++ b/modules/baobab_gateway/model_demand.h
@@ -14,7 +14,7 @@
 class ModelDemand {
  public:
   /// Time constant of the average; demand of the sites moves over 4 to 6 s.
-  static constexpr auto kTimeConstant = std::chrono::milliseconds(1500);
+  static constexpr auto kTimeConstant = std::chrono::milliseconds(1000);
   /// A produced token costs an engine about as much as this many read ones:
   /// one step of 4 ms for a batch of about ten, against 40 tokens a ms read.
   static constexpr double kOutputWeight = 8;
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -161,7 +161,7 @@
     }
   }
   for (auto& [model, demand] : demand_) {
-    // A model that is silent now counts for half of what it was.
+    // A model that is silent now keeps a part of its weight.
     demand.remembered_ = std::max(demand.remembered_ * keep, demand.now_);
   }
 }
@@ -189,7 +189,7 @@
     const auto found = demand_.find(name);
     return found == demand_.end()
                ? 0.0
-               : std::max(found->second.now_, found->second.remembered_ / 2);
+               : std::max(found->second.now_, found->second.remembered_ / 3);
   };
   const auto own_copies = static_cast<double>(copies_[model]);
   const auto gained = weight(model) / (own_copies + 1);
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -25,13 +25,13 @@
   double load_share_ = 1.0;
   /// Demand of one copy, in weighted tokens per second, above which a model
   /// gets another one: about a third of what an engine reads.
-  double busy_copy_ = 12'000;
+  double busy_copy_ = 5'000;
   /// A copy moves only if it serves at least this many times the demand that
   /// the copy which makes way does. Prevents moves back and forth.
-  double move_gain_ = 2.0;
+  double move_gain_ = 1.5;
   /// Time constant with which past demand is forgotten: a model that was busy
   /// keeps copies until others need the room.
-  Duration memory_ = std::chrono::seconds(25);
+  Duration memory_ = std::chrono::seconds(8);
   /// Time for the announcement of a removal to reach all instances.
   Duration removal_notice_ = std::chrono::milliseconds(250);
   /// Time until a loaded adapter can be used; the platform states 5 to 10 ms.
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -178,6 +178,7 @@
     bool begun_ = false;  // the caller has received a part of the response
     std::optional<TargetResponseHead> head_;
     std::string body_;
+    Duration first_event_{};  // from its arrival
     EventStream events_;
     TimePoint sent_at_{};
   };
@@ -294,7 +295,11 @@
         .With("target", assignment.target_)
         .With("attempt", active.sends_)
         .With("waited_ms", Milliseconds(now - active.item_.arrived_))
-        .With("predicted_ms", Milliseconds(assignment.predicted_))
+        .With("score_ms", Milliseconds(assignment.predicted_))
+        .With("first_token_ms", Milliseconds(assignment.first_token_))
+        .With("step_us", assignment.step_.count())
+        .With("busy_permille", assignment.busy_.busy_permille_)
+        .With("running", assignment.busy_.running_)
         .With("left_ms", Milliseconds(options.time_left_));
     active.attempt_ =
         TargetExchange::Start(pool_, std::move(request), std::move(events));
@@ -324,9 +329,10 @@
     dispatcher_.OnFirstToken(id, Now());
     if (!active.begun_) {
       active.begun_ = true;
+      active.first_event_ = Now() - active.item_.arrived_;
       metrics_.Record("gateway_first_event_seconds",
                       Label("route", active.route_->name_),
-                      Now() - active.item_.arrived_);
+                      active.first_event_);
       server_.BeginStream(active.exchange_, Codec::CallerHead(*active.head_));
     }
     server_.Write(active.exchange_, events);
@@ -557,6 +563,9 @@
         .With("status", status)
         .With("target", active.target_)
         .With("sends", active.sends_)
+        .With("model", active.item_.generation_.model_)
+        .With("first_event_ms", Milliseconds(active.first_event_))
+        .With("events", active.events_.last() + 1)
         .With("total_ms", Milliseconds(total));
     metrics_.Add("gateway_outcomes_total", Label("outcome", outcome));
     metrics_.Record("gateway_request_seconds",
