--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -135,8 +135,10 @@
     }
   }
 
-  /// Requests without a final response.
-  [[nodiscard]] auto active() const -> std::size_t { return active_.size(); }
+  /// Requests whose final response has not been handed over to the system.
+  [[nodiscard]] auto active() const -> std::size_t {
+    return std::max(active_.size(), server_.exchanges());
+  }
   [[nodiscard]] auto dispatcher() -> Dispatcher& { return dispatcher_; }
   [[nodiscard]] auto pool() -> const std::shared_ptr<ConnectionPool>& {
     return pool_;
