Keep placement going through lost counts, store outages and restarts of the holder

(2) The holder stopped 1.1 s into a store outage and a new one waited 4 s after it. (3) The model next in turn had few copies when demand reached it.

--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -313,6 +313,13 @@
   auto SendReport() -> void {
     const auto now = Now();
     directory_.Expire(now);
+    holder_.SetStoreConnected(sync_.is_connected());
+    if (!sync_.is_connected()) {
+      if (const auto at = directory_.StoreAwayForAllSince(now)) {
+        // Reports take a moment to arrive: they speak of an earlier time.
+        holder_.OnStoreAwayForAll(BootTime() - (now - *at) - kReportTravel);
+      }
+    }
     gateway_.SetInstances(directory_.CountWithOwn());
     auto& dispatcher = gateway_.dispatcher();
     PeerReport report;
@@ -327,6 +334,7 @@
     report.manifest_version_ =
         sync_.manifest() ? sync_.manifest()->version_ : 0;
     report.store_revision_ = sync_.revision();
+    report.store_connected_ = sync_.is_connected();
     report.fencing_token_ = holder_.fencing_token();
     report.work_ = dispatcher.OwnWork(now);
     report.demand_ = dispatcher.demand().Rates(now);
@@ -515,6 +523,8 @@
     });
   }
 
+  /// Longest usual time of a report on its way, with the sender's delays.
+  static constexpr Duration kReportTravel = std::chrono::milliseconds(150);
   /// Age up to which changes are repeated in reports.
   static constexpr Duration kChangeTime = std::chrono::seconds(2);
 
--- a/modules/baobab_gateway/holder_lease.h
+++ b/modules/baobab_gateway/holder_lease.h
@@ -29,12 +29,37 @@
   /// `turn`: the time that must lie between the orders of two holders.
   explicit HolderLease(Duration turn) : turn_(turn) {}
 
+  /// Time that a new holder waits in addition right after an outage of the
+  /// store: a former holder may go on until its peers have heard of the return.
+  static constexpr Duration kOutageWait = std::chrono::milliseconds(1500);
+
+  /// How the right became free.
+  enum class Origin : std::uint8_t {
+    kUnknown,      ///< The former holder may still take itself for one.
+    kAfterOutage,  ///< The same, right after an outage of the store.
+    kReleased,     ///< The former holder gave it back and orders no more.
+    kOwn,          ///< This instance was the former holder.
+  };
+
   /// The store granted the right; the call was sent at `sent`.
-  auto Acquire(std::int64_t fencing_token, Duration sent, Duration now)
-      -> void {
+  auto Acquire(std::int64_t fencing_token, Origin origin, Duration sent,
+               Duration now) -> void {
     fencing_token_ = fencing_token;
     renewed_ = sent;
-    orders_from_ = now + kValidity + turn_;
+    switch (origin) {
+      case Origin::kOwn:
+        orders_from_ = now;
+        break;
+      case Origin::kReleased:
+        orders_from_ = now + turn_;
+        break;
+      case Origin::kAfterOutage:
+        orders_from_ = now + kValidity + turn_ + kOutageWait;
+        break;
+      case Origin::kUnknown:
+        orders_from_ = now + kValidity + turn_;
+        break;
+    }
   }
 
   /// A renewal that was sent at `sent` succeeded.
--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -1,5 +1,7 @@
 #include "baobab_gateway/instance_directory.h"
 
+#include <algorithm>
+
 namespace baobab::gateway {
 
 auto InstanceDirectory::Register(const std::string& instance,
@@ -37,6 +39,7 @@
   entry.heard_ = true;
   entry.ready_ = report.ready_;
   entry.stopping_ = report.stopping_;
+  entry.store_connected_ = report.store_connected_;
   entry.heard_at_ = now;
   entry.fencing_token_ = report.fencing_token_;
   return true;
@@ -49,6 +52,19 @@
   });
 }
 
+auto InstanceDirectory::StoreAwayForAllSince(TimePoint now) const
+    -> std::optional<TimePoint> {
+  std::optional<TimePoint> oldest;
+  for (const auto& [name, instance] : instances_) {
+    if (!instance.heard_ || instance.store_connected_ ||
+        now - instance.heard_at_ > kSilence) {
+      return std::nullopt;
+    }
+    oldest = std::min(oldest.value_or(now), instance.heard_at_);
+  }
+  return oldest;
+}
+
 auto InstanceDirectory::CallerAddresses(const std::string& own,
                                         TimePoint now) const
     -> std::vector<std::string> {
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
     bool heard_ = false;
     bool ready_ = false;
     bool stopping_ = false;
+    bool store_connected_ = true;
     TimePoint heard_at_{};
     /// Fencing token of the last report, if the instance gives orders.
     std::int64_t fencing_token_ = 0;
@@ -59,6 +61,11 @@
   [[nodiscard]] auto CallerAddresses(const std::string& own,
                                      TimePoint now) const
       -> std::vector<std::string>;
+  /// Returns the time of the oldest last report if every known instance has
+  /// reported that it does not reach the store, and lately enough; nothing
+  /// otherwise, or if no other instance is known.
+  [[nodiscard]] auto StoreAwayForAllSince(TimePoint now) const
+      -> std::optional<TimePoint>;
   /// Returns the number of instances that are alive or may be, with this one.
   [[nodiscard]] auto CountWithOwn() const -> std::size_t {
     return instances_.size() + 1;
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -28,6 +28,8 @@
 template <class Store, class Calls>
 class OrderHolder {
  public:
+  /// Value of the last holder's item after it gave the right back.
+  static constexpr const char* kReleasedMark = "released";
   /// Interval of planning while this instance is the holder.
   static constexpr Duration kTick = std::chrono::milliseconds(50);
   /// Time limit of a call to an engine.
@@ -38,12 +40,19 @@
   /// to this one, so that most of them see that another has it.
   static constexpr Duration kContention = std::chrono::milliseconds(250);
 
+  /// Instances that were not the last holder wait this much longer, since the
+  /// last one can give orders at once.
+  static constexpr Duration kPreferLast = std::chrono::milliseconds(350);
+  /// How long after its return the store counts as having been away.
+  static constexpr Duration kAfterOutage = std::chrono::seconds(3);
+
   OrderHolder(boost::asio::io_context& io, Store& store, std::string key,
               std::string instance, Duration turn,
               std::shared_ptr<ConnectionPool> pool, MetricsRegistry& metrics,
               std::function<void()> on_changes)
       : store_(store),
         key_(std::move(key)),
+        last_key_(key_ + "/last"),
         instance_(std::move(instance)),
         pool_(std::move(pool)),
         metrics_(metrics),
@@ -70,13 +79,38 @@
     if (lease_.is_held()) {
       LogEvent(LogLevel::kInfo, "holder_released")
           .With("fence", lease_.fencing_token());
+      const auto token = lease_.fencing_token();
       lease_.Release();
-      store_.EndLease(lease_id_, [](const auto&) {});
+      StoreChange change;
+      change.expected_.push_back({key_, token});
+      change.writes_.push_back({last_key_, kReleasedMark, 0});
+      change.removals_.push_back(key_);
+      store_.Commit(change, [](const auto&) {});
+    }
+  }
+
+  /// Tells whether this instance reaches the store.
+  auto SetStoreConnected(bool connected) -> void {
+    if (connected && !store_connected_) {
+      store_regained_ = BootTime();
+    }
+    store_connected_ = connected;
+  }
+
+  /// No instance reached the store at `at`: the right cannot have passed to
+  /// another one before, although it could not be renewed.
+  auto OnStoreAwayForAll(Duration at) -> void {
+    if (lease_.is_held()) {
+      lease_.Renew(at);
     }
   }
 
   /// Takes an item of the store with the holder's key.
   auto OnItem(const StoreItem& item) -> void {
+    if (item.key_ == last_key_) {
+      last_holder_ = item.value_;
+      last_revision_ = item.removed_ ? 0 : item.revision_;
+    }
     if (item.key_ != key_) {
       return;
     }
@@ -133,7 +167,11 @@
     }
     competing_ = true;
     std::uniform_int_distribution<Duration::rep> draw(0, kContention.count());
-    compete_.expires_after(Duration(draw(random_)));
+    const bool known_other = !last_holder_.empty() &&
+                             last_holder_ != kReleasedMark &&
+                             last_holder_ != instance_;
+    compete_.expires_after((known_other ? kPreferLast : Duration::zero()) +
+                           Duration(draw(random_)));
     compete_.async_wait([this](boost::system::error_code error) {
       competing_ = false;
       if (!error && vacant_ && !stopping_) {
@@ -153,7 +191,11 @@
       grant_sent_ = BootTime();
       StoreChange change;
       change.expected_.push_back({key_, 0});
+      // The former holder is the one of this revision, or the change fails.
+      change.expected_.push_back({last_key_, last_revision_});
       change.writes_.push_back({key_, mark_, lease_id_});
+      change.writes_.push_back({last_key_, instance_, 0});
+      origin_ = Origin();
       store_.Commit(change, [this](auto committed) {
         competing_ = false;
         if (const auto* revision = std::get_if<std::int64_t>(&committed)) {
@@ -163,16 +205,32 @@
           }
         } else if (std::get<StoreFailure>(committed) ==
                    StoreFailure::kConflict) {
-          vacant_ = false;
+          LogEvent(LogLevel::kInfo, "holder_not_acquired")
+              .With("reason", "taken_or_changed");
         }
       });
     });
   }
 
+  [[nodiscard]] auto Origin() const -> HolderLease::Origin {
+    if (last_holder_ == instance_) {
+      return HolderLease::Origin::kOwn;
+    }
+    if (last_holder_ == kReleasedMark) {
+      return HolderLease::Origin::kReleased;
+    }
+    return BootTime() - store_regained_ < kAfterOutage
+               ? HolderLease::Origin::kAfterOutage
+               : HolderLease::Origin::kUnknown;
+  }
+
   auto Acquired(std::int64_t revision, Duration sent) -> void {
-    lease_.Acquire(revision, sent, BootTime());
+    lease_.Acquire(revision, origin_, sent, BootTime());
     planner_.Begin(/*may_have_loaded=*/true, Now());
-    LogEvent(LogLevel::kInfo, "holder_acquired").With("fence", revision);
+    LogEvent(LogLevel::kInfo, "holder_acquired")
+        .With("fence", revision)
+        .With("last_holder", last_holder_)
+        .With("last_revision", last_revision_);
     next_renewal_ = BootTime() + HolderLease::kRenewInterval;
   }
 
@@ -295,6 +353,11 @@
 
   Store& store_;
   std::string key_;
+  std::string last_key_;  // names the last holder, and whether it gave back
+  std::string last_holder_;
+  std::int64_t last_revision_ = 0;
+  bool store_connected_ = false;
+  Duration store_regained_ = -kAfterOutage;
   std::string instance_;
   std::string mark_;  // tells this process from earlier ones of the instance
   std::shared_ptr<ConnectionPool> pool_;
@@ -306,6 +369,7 @@
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer compete_;
   Random random_;
+  HolderLease::Origin origin_ = HolderLease::Origin::kUnknown;
   std::int64_t lease_id_ = 0;
   Duration grant_sent_{};
   Duration next_renewal_{};
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -18,6 +18,8 @@
 constexpr Duration kChangeAge = std::chrono::seconds(3);
 /// An engine that does not answer is asked again after this time.
 constexpr Duration kReportRetry = std::chrono::milliseconds(700);
+/// Added to the need of a model without a copy, so that it goes first.
+constexpr double kMissingNeed = 1e12;
 /// An adapter that is wanted although it is loaded is verified this often.
 constexpr Duration kVerifyInterval = std::chrono::milliseconds(500);
 
@@ -62,6 +64,7 @@
 auto OrderPlanner::Begin(bool may_have_loaded, TimePoint now) -> void {
   for (auto& [id, server] : servers_) {
     server.known_ = false;
+    server.seen_ = false;
     server.order_.reset();
     server.next_report_ = now;
   }
@@ -160,12 +163,28 @@
       demand_[model].now_ += rate;
     }
   }
+  total_demand_ = 0;
+  top_demand_ = 0;
   for (auto& [model, demand] : demand_) {
-    // A model that is silent now keeps a part of its weight.
     demand.remembered_ = std::max(demand.remembered_ * keep, demand.now_);
+    total_demand_ += demand.now_;
+    top_demand_ = std::max(top_demand_, demand.now_);
   }
 }
 
+auto OrderPlanner::Weight(const std::string& model) const -> double {
+  const auto found = demand_.find(model);
+  if (found == demand_.end()) {
+    return 0;
+  }
+  const auto& demand = found->second;
+  // A model that is silent now keeps a part of its weight.
+  const auto weight = std::max(demand.now_, demand.remembered_ / 3);
+  return demand.now_ >= settings_.next_share_ * total_demand_
+             ? std::max(weight, settings_.next_weight_ * top_demand_)
+             : weight;
+}
+
 auto OrderPlanner::MayLoadFromStore(const EngineSpec& engine, TimePoint now)
     -> bool {
   while (!store_loads_.empty() &&
@@ -185,14 +204,8 @@
   if (spec == nullptr) {
     return false;
   }
-  const auto weight = [this](const std::string& name) {
-    const auto found = demand_.find(name);
-    return found == demand_.end()
-               ? 0.0
-               : std::max(found->second.now_, found->second.remembered_ / 3);
-  };
   const auto own_copies = static_cast<double>(copies_[model]);
-  const auto gained = weight(model) / (own_copies + 1);
+  const auto gained = Weight(model) / (own_copies + 1);
   Server* best = nullptr;
   std::string best_id;
   std::string best_victim;
@@ -225,7 +238,7 @@
           continue;
         }
         const auto lost =
-            weight(resident) / static_cast<double>(copies - 1);
+            Weight(resident) / static_cast<double>(copies - 1);
         if (lost < least) {
           least = lost;
           victim = resident;
@@ -277,7 +290,7 @@
         server.registration_.leaving_) {
       continue;
     }
-    all_known = all_known && (server.known_ || server.failed_reports_ > 1);
+    all_known = all_known && (server.seen_ || server.failed_reports_ > 1);
     for (const auto& [model, adapters] : server.models_) {
       ++copies_[model];
     }
@@ -297,15 +310,12 @@
   }
   std::vector<std::pair<double, std::string>> by_need;
   for (const auto& model : engine.models_) {
-    const auto found = demand_.find(model.name_);
-    const auto demand = found == demand_.end() ? Demand() : found->second;
+    const auto weight = Weight(model.name_);
     const auto copies = copies_[model.name_];
     if (copies <= 0) {
-      by_need.emplace_back(1e12 + demand.remembered_, model.name_);
-    } else if (demand.now_ / static_cast<double>(copies) >
-               settings_.busy_copy_) {
-      by_need.emplace_back(demand.now_ / static_cast<double>(copies),
-                           model.name_);
+      by_need.emplace_back(kMissingNeed + weight, model.name_);
+    } else if (weight / static_cast<double>(copies) > settings_.busy_copy_) {
+      by_need.emplace_back(weight / static_cast<double>(copies), model.name_);
     }
   }
   std::sort(by_need.rbegin(), by_need.rend());
@@ -483,6 +493,7 @@
       result == OrderResult::kAccepted || result == OrderResult::kHolds;
   if (done) {
     server.sequence_ = order.expected_sequence_.value_or(server.sequence_) + 1;
+    server.accepted_at_ = now;
   }
   if (!order.adapter_.empty()) {
     auto& adapters = server.models_[order.model_];
@@ -531,9 +542,13 @@
   // A report is some hundred ms old: it may lack the last orders that the
   // engine accepted. A restarted engine counts from zero.
   const bool same_start = report.born_ms_ == server.report_born_ms_;
-  if (same_start && report.orders_accepted_ < server.sequence_) {
+  // An order that held already did not count at the engine although it was
+  // counted here; after the lag the report is right.
+  if (same_start && report.orders_accepted_ < server.sequence_ &&
+      now - server.accepted_at_ < settings_.report_lag_) {
     return;
   }
+  server.seen_ = true;
   server.report_born_ms_ = report.born_ms_;
   server.sequence_ = report.orders_accepted_;
   server.models_.clear();
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -32,6 +32,13 @@
   /// Time constant with which past demand is forgotten: a model that was busy
   /// keeps copies until others need the room.
   Duration memory_ = std::chrono::seconds(8);
+  /// A model with at least this share of all demand may become the busiest one
+  /// within seconds, while a load takes about four: it is placed as if it had
+  /// `next_weight_` of the demand of the busiest one.
+  double next_share_ = 0.05;
+  double next_weight_ = 0.5;
+  /// After this time an engine's report shows every order that it accepted.
+  Duration report_lag_ = std::chrono::milliseconds(700);
   /// Time for the announcement of a removal to reach all instances.
   Duration removal_notice_ = std::chrono::milliseconds(250);
   /// Time until a loaded adapter can be used; the platform states 5 to 10 ms.
@@ -99,7 +106,9 @@
   };
   struct Server {
     TargetRegistration registration_;
-    bool known_ = false;    // a report was read since Begin
+    bool known_ = false;    // its contents are current
+    bool seen_ = false;     // a report was read since Begin
+    TimePoint accepted_at_{};  // when it accepted the last order
     bool calling_ = false;  // a call is in progress
     std::map<std::string, std::set<std::string>> models_;
     std::int64_t sequence_ = 0;
@@ -127,6 +136,7 @@
   [[nodiscard]] auto UsedMb(const Server& server, const EngineSpec& engine)
       const -> double;
   [[nodiscard]] auto AdapterCount(const Server& server) const -> std::size_t;
+  [[nodiscard]] auto Weight(const std::string& model) const -> double;
   auto UpdateDemand(TimePoint now) -> void;
   auto PlanModels(const std::string& service, const EngineSpec& engine,
                   TimePoint now) -> void;
@@ -153,6 +163,8 @@
   std::deque<TimePoint> store_loads_;
   std::deque<Change> changes_;
   std::map<std::string, std::int64_t> copies_;
+  double total_demand_ = 0;
+  double top_demand_ = 0;
   TimePoint demand_at_{};
   TimePoint next_plan_{};
 };
--- a/modules/baobab_gateway/peer_report.cc
+++ b/modules/baobab_gateway/peer_report.cc
@@ -53,6 +53,7 @@
                    {"stopping", report.stopping_},
                    {"manifest", report.manifest_version_},
                    {"revision", report.store_revision_},
+                   {"store", report.store_connected_},
                    {"fence", report.fencing_token_},
                    {"work", std::move(work)},
                    {"demand", std::move(demand)},
@@ -76,6 +77,7 @@
     report.stopping_ = object.at("stopping").as_bool();
     report.manifest_version_ = object.at("manifest").to_number<std::int64_t>();
     report.store_revision_ = object.at("revision").to_number<std::int64_t>();
+    report.store_connected_ = object.at("store").as_bool();
     report.fencing_token_ = object.at("fence").to_number<std::int64_t>();
     for (const auto& entry : object.at("work").as_array()) {
       const auto& fields = entry.as_array();
--- a/modules/baobab_gateway/peer_report.h
+++ b/modules/baobab_gateway/peer_report.h
@@ -34,6 +34,7 @@
   bool stopping_ = false;  ///< Must get no new callers.
   std::int64_t manifest_version_ = 0;
   std::int64_t store_revision_ = 0;
+  bool store_connected_ = false;  ///< Its last call to the store succeeded.
   /// Fencing token, if it holds the right to give orders; else 0.
   std::int64_t fencing_token_ = 0;
   WorkByTarget work_;
