--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -557,6 +557,16 @@
   return needs;
 }
 
+auto Dispatcher::Demand(TimePoint now) -> std::map<std::string, double> {
+  auto demand = demand_.Rates(now);
+  for (auto& [model, rate] : demand) {
+    const auto time =
+        speed_.TimeFor(model, static_cast<std::uint64_t>(rate));
+    rate = std::chrono::duration<double>(time).count();
+  }
+  return demand;
+}
+
 auto Dispatcher::OldestWait(TimePoint now) const -> Duration {
   Duration oldest{};
   for (const auto& [id, item] : queue_) {
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -146,8 +146,8 @@
   [[nodiscard]] auto AdapterNeeds() const -> std::vector<AdapterNeed>;
   /// Adapters in use now or since the last call.
   [[nodiscard]] auto TakeAdapterUses() -> std::vector<AdapterUse>;
-  /// Demand by model since the last calls.
-  [[nodiscard]] auto demand() -> ModelDemand& { return demand_; }
+  /// Demand by model, as shares of an engine's time.
+  [[nodiscard]] auto Demand(TimePoint now) -> std::map<std::string, double>;
   [[nodiscard]] auto waiting() const -> std::size_t { return queue_.size(); }
   [[nodiscard]] auto running() const -> std::size_t { return sent_.size(); }
   /// Time that the longest-waiting request has waited.
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -77,8 +77,9 @@
                [this](const auto& registry) { OnTargets(registry); },
                [this](const auto& item) { OnOwnItem(item); }}),
         holder_(io, store_, kHolderKey, settings_.instance_,
+                Mark(settings_.instance_, incarnation_),
                 settings_.order_turn_, gateway_.pool(), metrics_,
-                [this] { ReportSoon(); }),
+                [this] { ReportSoon(/*to_holder_only=*/false); }),
         peers_(io, settings_.address_, settings_.peer_port_,
                [this](const PeerReport& report) { OnPeer(report); }),
         report_timer_(io),
@@ -132,6 +133,12 @@
         std::chrono::steady_clock::now());
   }
 
+  /// Names one process of an instance.
+  [[nodiscard]] static auto Mark(const std::string& instance,
+                                 std::int64_t incarnation) -> std::string {
+    return instance + "/" + std::to_string(incarnation);
+  }
+
   [[nodiscard]] auto IsReady() const -> bool {
     return !stopping_ && sync_.is_complete();
   }
@@ -252,8 +259,15 @@
     for (const auto& change : report.changes_) {
       ApplyChange(change);
     }
-    holder_.planner().OnPeer(report.instance_, report.demand_, report.needs_,
-                             report.uses_, now);
+    sync_.OnHint(report.important_revision_);
+    if (report.fencing_token_ == 0) {
+      holder_.OnOtherIsNoHolder(Mark(report.instance_, report.incarnation_),
+                                report.recent_orders_);
+    }
+    if (holder_.fencing_token() != 0) {
+      holder_.planner().OnPeer(report.instance_, report.demand_, report.needs_,
+                               report.uses_, now);
+    }
     if (!report.needs_.empty() && holder_.fencing_token() != 0) {
       holder_.Pump();
     }
@@ -280,11 +294,14 @@
     }
     last_needs_ = std::move(needs);
     if (!last_needs_.empty()) {
-      ReportSoon();
+      ReportSoon(/*to_holder_only=*/true);
     }
   }
 
-  auto ReportSoon() -> void {
+  /// Reports before the next interval: changes of what targets hold go to all,
+  /// needs only to the holder.
+  auto ReportSoon(bool to_holder_only) -> void {
+    urgent_to_all_ = urgent_to_all_ || !to_holder_only;
     if (urgent_pending_) {
       return;
     }
@@ -293,7 +310,7 @@
     urgent_timer_.async_wait([this](boost::system::error_code error) {
       urgent_pending_ = false;
       if (!error) {
-        SendReport();
+        SendReport(!std::exchange(urgent_to_all_, false));
       }
     });
   }
@@ -310,7 +327,7 @@
     });
   }
 
-  auto SendReport() -> void {
+  auto SendReport(bool to_holder_only = false) -> void {
     const auto now = Now();
     directory_.Expire(now);
     holder_.SetStoreConnected(sync_.is_connected());
@@ -333,26 +350,36 @@
     report.stopping_ = stopping_;
     report.manifest_version_ =
         sync_.manifest() ? sync_.manifest()->version_ : 0;
-    report.store_revision_ = sync_.revision();
+    report.important_revision_ = sync_.important_revision();
     report.store_connected_ = sync_.is_connected();
     report.fencing_token_ = holder_.fencing_token();
     report.work_ = dispatcher.OwnWork(now);
-    report.demand_ = dispatcher.demand().Rates(now);
-    report.needs_ = dispatcher.AdapterNeeds();
-    report.uses_ = dispatcher.TakeAdapterUses();
+    report.recent_orders_ = holder_.RecentOrders();
+    const auto demand = dispatcher.Demand(now);
+    const auto needs = dispatcher.AdapterNeeds();
+    const auto uses = dispatcher.TakeAdapterUses();
+    sync_.SetReader(report.fencing_token_ != 0 ||
+                    directory_.IsReader(settings_.instance_, now));
     if (report.fencing_token_ != 0) {
       report.changes_ = holder_.planner().ChangesSince(now - kChangeTime, now);
       for (const auto& change : report.changes_) {
         ApplyChange(change);
       }
-      holder_.planner().OnPeer(settings_.instance_, report.demand_,
-                               report.needs_, report.uses_, now);
+      holder_.planner().OnPeer(settings_.instance_, demand, needs, uses, now);
       holder_.Pump();
       gateway_.Pump();
     }
     const auto text = EncodePeerReport(report);
+    report.demand_ = demand;
+    report.needs_ = needs;
+    report.uses_ = uses;
+    const auto text_for_holder = EncodePeerReport(report);
     for (const auto& [name, instance] : directory_.instances()) {
-      peers_.Send(instance.address_, text);
+      if (instance.fencing_token_ != 0) {
+        peers_.Send(instance.address_, text_for_holder);
+      } else if (!to_holder_only) {
+        peers_.Send(instance.address_, text);
+      }
     }
     if (directory_.instances().empty()) {
       for (const auto& seed : settings_.seeds_) {
@@ -554,6 +581,7 @@
   bool stopping_ = false;
   bool refusing_ = false;
   bool urgent_pending_ = false;
+  bool urgent_to_all_ = false;
 };
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/holder_lease.h
+++ b/modules/baobab_gateway/holder_lease.h
@@ -62,6 +62,11 @@
     }
   }
 
+  /// The former holder has said that it gives no more orders.
+  auto EndWait(Duration now) -> void {
+    orders_from_ = std::min(orders_from_, now);
+  }
+
   /// A renewal that was sent at `sent` succeeded.
   auto Renew(Duration sent) -> void { renewed_ = std::max(renewed_, sent); }
 
--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "baobab_base/rendezvous_hash.h"
+
 namespace baobab::gateway {
 
 auto InstanceDirectory::Register(const std::string& instance,
@@ -52,6 +54,20 @@
   });
 }
 
+auto InstanceDirectory::IsReader(const std::string& own, TimePoint now) const
+    -> bool {
+  const auto weight = HashKey(own);
+  std::size_t before = 0;
+  for (const auto& [name, instance] : instances_) {
+    if (instance.heard_ && now - instance.heard_at_ <= kSilence &&
+        instance.ready_ && instance.store_connected_ &&
+        HashKey(name) < weight) {
+      ++before;
+    }
+  }
+  return before < kReaders;
+}
+
 auto InstanceDirectory::StoreAwayForAllSince(TimePoint now) const
     -> std::optional<TimePoint> {
   std::optional<TimePoint> oldest;
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -26,6 +26,9 @@
   static constexpr Duration kSilence = std::chrono::milliseconds(1300);
   /// Silence after which an unregistered instance is forgotten.
   static constexpr Duration kForget = std::chrono::seconds(20);
+  /// Instances that read every change of the store at once. Three of them
+  /// survive the loss of two before the silence of these is noticed.
+  static constexpr std::size_t kReaders = 3;
   /// Largest number of addresses in an answer.
   static constexpr std::size_t kMostAddresses = 64;
 
@@ -61,6 +64,9 @@
   [[nodiscard]] auto CallerAddresses(const std::string& own,
                                      TimePoint now) const
       -> std::vector<std::string>;
+  /// Returns true if `own` is one of the instances that read the store for all.
+  [[nodiscard]] auto IsReader(const std::string& own, TimePoint now) const
+      -> bool;
   /// Returns the time of the oldest last report if every known instance has
   /// reported that it does not reach the store, and lately enough; nothing
   /// otherwise, or if no other instance is known.
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -3,11 +3,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "baobab_base/log.h"
 #include "baobab_base/metrics_registry.h"
@@ -46,14 +48,21 @@
   /// How long after its return the store counts as having been away.
   static constexpr Duration kAfterOutage = std::chrono::seconds(3);
 
+  /// Margin on the time between the orders of two holders.
+  static constexpr Duration kTurnMargin = std::chrono::milliseconds(300);
+
+  /// `mark` names the process; `turn` is the time that must lie between orders
+  /// of two holders to one target.
   OrderHolder(boost::asio::io_context& io, Store& store, std::string key,
-              std::string instance, Duration turn,
+              std::string instance, std::string mark, Duration turn,
               std::shared_ptr<ConnectionPool> pool, MetricsRegistry& metrics,
               std::function<void()> on_changes)
       : store_(store),
         key_(std::move(key)),
         last_key_(key_ + "/last"),
         instance_(std::move(instance)),
+        mark_(std::move(mark)),
+        turn_(turn),
         pool_(std::move(pool)),
         metrics_(metrics),
         on_changes_(std::move(on_changes)),
@@ -61,9 +70,7 @@
         planner_(PlannerSettings()),
         tick_(io),
         compete_(io),
-        random_(std::random_device{}()) {
-    mark_ = instance_ + "/" + std::to_string(random_());
-  }
+        random_(std::random_device{}()) {}
 
   /// Starts to compete. Call once the state of the store is known.
   auto Start() -> void {
@@ -97,6 +104,39 @@
     store_connected_ = connected;
   }
 
+  /// The process `mark` says that it is not the holder, and when it gave its
+  /// last orders. If it was the holder before this one, the targets that it
+  /// gave none to need not wait.
+  auto OnOtherIsNoHolder(
+      const std::string& mark,
+      const std::vector<std::pair<std::string, Duration>>& recent) -> void {
+    if (!lease_.is_held() || mark != former_) {
+      return;
+    }
+    former_.clear();
+    const auto now = BootTime();
+    for (const auto& [target, age] : recent) {
+      blocked_until_[target] = now - age + turn_ + kTurnMargin;
+    }
+    lease_.EndWait(now);
+    LogEvent(LogLevel::kInfo, "holder_wait_ended")
+        .With("former", mark)
+        .With("blocked_targets", blocked_until_.size());
+  }
+
+  /// Targets to which this process gave orders of late.
+  [[nodiscard]] auto RecentOrders() const
+      -> std::vector<std::pair<std::string, Duration>> {
+    std::vector<std::pair<std::string, Duration>> recent;
+    const auto now = BootTime();
+    for (const auto& [target, at] : ordered_at_) {
+      if (now - at < turn_ + kTurnMargin) {
+        recent.emplace_back(target, now - at);
+      }
+    }
+    return recent;
+  }
+
   /// No instance reached the store at `at`: the right cannot have passed to
   /// another one before, although it could not be renewed.
   auto OnStoreAwayForAll(Duration at) -> void {
@@ -169,7 +209,7 @@
     std::uniform_int_distribution<Duration::rep> draw(0, kContention.count());
     const bool known_other = !last_holder_.empty() &&
                              last_holder_ != kReleasedMark &&
-                             last_holder_ != instance_;
+                             !IsOwn(last_holder_);
     compete_.expires_after((known_other ? kPreferLast : Duration::zero()) +
                            Duration(draw(random_)));
     compete_.async_wait([this](boost::system::error_code error) {
@@ -194,8 +234,9 @@
       // The former holder is the one of this revision, or the change fails.
       change.expected_.push_back({last_key_, last_revision_});
       change.writes_.push_back({key_, mark_, lease_id_});
-      change.writes_.push_back({last_key_, instance_, 0});
+      change.writes_.push_back({last_key_, mark_, 0});
       origin_ = Origin();
+      former_ = last_holder_;
       store_.Commit(change, [this](auto committed) {
         competing_ = false;
         if (const auto* revision = std::get_if<std::int64_t>(&committed)) {
@@ -213,7 +254,7 @@
   }
 
   [[nodiscard]] auto Origin() const -> HolderLease::Origin {
-    if (last_holder_ == instance_) {
+    if (IsOwn(last_holder_)) {
       return HolderLease::Origin::kOwn;
     }
     if (last_holder_ == kReleasedMark) {
@@ -224,8 +265,14 @@
                : HolderLease::Origin::kUnknown;
   }
 
+  /// Returns true if `mark` names a process of this instance.
+  [[nodiscard]] auto IsOwn(const std::string& mark) const -> bool {
+    return mark.substr(0, mark.find('/')) == instance_;
+  }
+
   auto Acquired(std::int64_t revision, Duration sent) -> void {
     lease_.Acquire(revision, origin_, sent, BootTime());
+    blocked_until_.clear();
     planner_.Begin(/*may_have_loaded=*/true, Now());
     LogEvent(LogLevel::kInfo, "holder_acquired")
         .With("fence", revision)
@@ -278,6 +325,13 @@
   }
 
   auto GiveOrder(EngineOrder order) -> void {
+    const auto now = BootTime();
+    if (const auto blocked = blocked_until_.find(order.target_);
+        blocked != blocked_until_.end() && now < blocked->second) {
+      planner_.OnNotSent(order, Now());
+      return;
+    }
+    ordered_at_[order.target_] = now;
     order.holder_ = instance_;
     order.fencing_token_ = lease_.fencing_token();
     auto request = Calls::Encode(order);
@@ -359,7 +413,11 @@
   bool store_connected_ = false;
   Duration store_regained_ = -kAfterOutage;
   std::string instance_;
+  std::string former_;  // mark of the holder before this one
   std::string mark_;  // tells this process from earlier ones of the instance
+  Duration turn_;
+  std::map<std::string, Duration> ordered_at_;  // own last order by target
+  std::map<std::string, Duration> blocked_until_;
   std::shared_ptr<ConnectionPool> pool_;
   MetricsRegistry& metrics_;
   std::function<void()> on_changes_;
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -155,14 +155,19 @@
   std::erase_if(demand_by_instance_, [now](const auto& item) {
     return now - item.second.second > kPeerAge;
   });
-  for (auto& [model, demand] : demand_) {
-    demand.now_ = 0;
-  }
+  const auto weight =
+      1 - std::exp(-elapsed /
+                   std::chrono::duration<double>(settings_.smoothing_));
+  std::map<std::string, double> current;
   for (const auto& [instance, report] : demand_by_instance_) {
-    for (const auto& [model, rate] : report.first) {
-      demand_[model].now_ += rate;
+    for (const auto& [model, share] : report.first) {
+      current[model] += share;
+      demand_.try_emplace(model);
     }
   }
+  for (auto& [model, demand] : demand_) {
+    demand.now_ += (current[model] - demand.now_) * weight;
+  }
   total_demand_ = 0;
   top_demand_ = 0;
   for (auto& [model, demand] : demand_) {
@@ -185,7 +190,8 @@
              : weight;
 }
 
-auto OrderPlanner::MayLoadFromStore(const EngineSpec& engine, TimePoint now)
+auto OrderPlanner::MayLoadFromStore(const EngineSpec& engine,
+                                    std::size_t planned, TimePoint now)
     -> bool {
   while (!store_loads_.empty() &&
          now - store_loads_.front() > settings_.load_window_) {
@@ -194,7 +200,22 @@
   const auto most =
       settings_.load_share_ * engine.store_loads_per_second_ *
       std::chrono::duration<double>(settings_.load_window_).count();
-  return static_cast<double>(store_loads_.size()) + 1 <= most;
+  return static_cast<double>(store_loads_.size() + planned) + 1 <= most;
+}
+
+auto OrderPlanner::PlannedStoreLoads() const -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      servers_.begin(), servers_.end(), [](const auto& item) {
+        const auto& order = item.second.order_;
+        if (!order) {
+          return false;
+        }
+        const auto& load = order->kind_ == OrderKind::kLoad
+                               ? order->model_
+                               : order->then_load_;
+        const bool pending = order->kind_ == OrderKind::kUnload || !order->sent_;
+        return pending && !load.empty() && item.second.cached_.count(load) == 0;
+      }));
 }
 
 auto OrderPlanner::PlaceCopy(const std::string& service,
@@ -206,6 +227,8 @@
   }
   const auto own_copies = static_cast<double>(copies_[model]);
   const auto gained = Weight(model) / (own_copies + 1);
+  const bool may_load_from_store =
+      MayLoadFromStore(engine, PlannedStoreLoads(), now);
   Server* best = nullptr;
   std::string best_id;
   std::string best_victim;
@@ -217,7 +240,7 @@
       continue;
     }
     const bool cached = server.cached_.count(model) > 0;
-    if (!cached && !MayLoadFromStore(engine, now)) {
+    if (!cached && !may_load_from_store) {
       continue;
     }
     // The cost of a place is the demand that its present copy serves; a load
@@ -260,9 +283,6 @@
   if (best == nullptr) {
     return false;
   }
-  if (best->cached_.count(model) == 0) {
-    store_loads_.push_back(now);
-  }
   ModelOrder order;
   if (best_victim.empty()) {
     order.kind_ = OrderKind::kLoad;
@@ -450,6 +470,14 @@
     return;
   }
   if (server.order_ && now >= server.order_->not_before_) {
+    const auto* engine = Engine(server.registration_.service_);
+    if (server.order_->kind_ == OrderKind::kLoad &&
+        server.cached_.count(server.order_->model_) == 0) {
+      if (engine == nullptr || !MayLoadFromStore(*engine, 0, now)) {
+        return;
+      }
+      store_loads_.push_back(now);
+    }
     server.calling_ = true;
     server.order_->sent_ = true;
     actions.push_back({PlannerAction::Kind::kOrder, id,
@@ -529,6 +557,20 @@
   }
 }
 
+auto OrderPlanner::OnNotSent(const EngineOrder& order, TimePoint now) -> void {
+  const auto found = servers_.find(order.target_);
+  if (found == servers_.end()) {
+    return;
+  }
+  auto& server = found->second;
+  server.calling_ = false;
+  server.next_adapter_ = now + kPlanInterval;
+  if (order.adapter_.empty() && server.order_) {
+    server.order_->sent_ = false;
+    server.order_->not_before_ = now + kPlanInterval;
+  }
+}
+
 auto OrderPlanner::OnReport(const std::string& target,
                             const EngineReport& report, TimePoint now) -> void {
   const auto found = servers_.find(target);
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -23,9 +23,12 @@
   /// Loads from the weight store per window, in multiples of the store's rate.
   /// The tolerated excess is left for loads that start late.
   double load_share_ = 1.0;
-  /// Demand of one copy, in weighted tokens per second, above which a model
-  /// gets another one: about a third of what an engine reads.
-  double busy_copy_ = 5'000;
+  /// Demand of one copy, as a share of an engine's time, above which a model gets
+  /// another one. Demand doubles within seconds and a load takes about four.
+  double busy_copy_ = 0.15;
+  /// Time constant over which demand is averaged: a single long prompt for a
+  /// rare model must not look like a shift of demand.
+  Duration smoothing_ = std::chrono::milliseconds(2000);
   /// A copy moves only if it serves at least this many times the demand that
   /// the copy which makes way does. Prevents moves back and forth.
   double move_gain_ = 1.5;
@@ -35,7 +38,7 @@
   /// A model with at least this share of all demand may become the busiest one
   /// within seconds, while a load takes about four: it is placed as if it had
   /// `next_weight_` of the demand of the busiest one.
-  double next_share_ = 0.05;
+  double next_share_ = 0.08;
   double next_weight_ = 0.5;
   /// After this time an engine's report shows every order that it accepted.
   Duration report_lag_ = std::chrono::milliseconds(700);
@@ -75,7 +78,8 @@
   /// `may_have_loaded`: another holder may just have used the load rate.
   auto Begin(bool may_have_loaded, TimePoint now) -> void;
 
-  /// Records what an instance reports of demand and use.
+  /// Records what an instance reports of demand, as shares of an engine's time
+  /// by model, and of use.
   auto OnPeer(const std::string& instance,
               const std::map<std::string, double>& demand,
               const std::vector<AdapterNeed>& needs,
@@ -87,6 +91,8 @@
 
   auto OnOrderResult(const EngineOrder& order, OrderResult result,
                      TimePoint now) -> void;
+  /// The order was not sent and cannot be sent yet.
+  auto OnNotSent(const EngineOrder& order, TimePoint now) -> void;
   auto OnReport(const std::string& target, const EngineReport& report,
                 TimePoint now) -> void;
   auto OnReportFailed(const std::string& target, TimePoint now) -> void;
@@ -145,8 +151,11 @@
   auto PlanAdapters(TimePoint now, std::vector<PlannerAction>& actions) -> void;
   auto Advance(const std::string& id, Server& server, TimePoint now,
                std::vector<PlannerAction>& actions) -> void;
-  [[nodiscard]] auto MayLoadFromStore(const EngineSpec& engine, TimePoint now)
+  /// `planned`: loads that are decided and not yet ordered.
+  [[nodiscard]] auto MayLoadFromStore(const EngineSpec& engine,
+                                      std::size_t planned, TimePoint now)
       -> bool;
+  [[nodiscard]] auto PlannedStoreLoads() const -> std::size_t;
   auto MakeOrder(const std::string& id, const Server& server, OrderKind kind,
                  const std::string& model, const std::string& adapter) const
       -> EngineOrder;
--- a/modules/baobab_gateway/peer_report.cc
+++ b/modules/baobab_gateway/peer_report.cc
@@ -11,6 +11,9 @@
 
 namespace json = boost::json;
 
+/// Demand is sent in thousandths of an engine's time.
+constexpr double kDemandScale = 1000;
+
 auto Text(const json::value& value) -> std::string {
   const auto& text = value.as_string();
   return {text.data(), text.size()};
@@ -24,9 +27,14 @@
     work.push_back(json::array{target, item.running_, item.cache_tokens_,
                                item.prefill_us_, item.busy_permille_});
   }
+  json::array orders;
+  for (const auto& [target, age] : report.recent_orders_) {
+    orders.push_back(json::array{target, age.count()});
+  }
   json::array demand;
   for (const auto& [model, rate] : report.demand_) {
-    demand.push_back(json::array{model, static_cast<std::int64_t>(rate)});
+    demand.push_back(
+        json::array{model, static_cast<std::int64_t>(rate * kDemandScale)});
   }
   json::array needs;
   for (const auto& need : report.needs_) {
@@ -52,9 +60,10 @@
                    {"ready", report.ready_},
                    {"stopping", report.stopping_},
                    {"manifest", report.manifest_version_},
-                   {"revision", report.store_revision_},
+                   {"revision", report.important_revision_},
                    {"store", report.store_connected_},
                    {"fence", report.fencing_token_},
+                   {"orders", std::move(orders)},
                    {"work", std::move(work)},
                    {"demand", std::move(demand)},
                    {"needs", std::move(needs)},
@@ -76,7 +85,7 @@
     report.ready_ = object.at("ready").as_bool();
     report.stopping_ = object.at("stopping").as_bool();
     report.manifest_version_ = object.at("manifest").to_number<std::int64_t>();
-    report.store_revision_ = object.at("revision").to_number<std::int64_t>();
+    report.important_revision_ = object.at("revision").to_number<std::int64_t>();
     report.store_connected_ = object.at("store").as_bool();
     report.fencing_token_ = object.at("fence").to_number<std::int64_t>();
     for (const auto& entry : object.at("work").as_array()) {
@@ -87,9 +96,16 @@
           fields.at(3).to_number<std::uint32_t>(),
           fields.at(4).to_number<std::uint32_t>()};
     }
+    for (const auto& entry : object.at("orders").as_array()) {
+      const auto& fields = entry.as_array();
+      report.recent_orders_.emplace_back(
+          Text(fields.at(0)),
+          Duration(fields.at(1).to_number<std::int64_t>()));
+    }
     for (const auto& entry : object.at("demand").as_array()) {
       const auto& fields = entry.as_array();
-      report.demand_[Text(fields.at(0))] = fields.at(1).to_number<double>();
+      report.demand_[Text(fields.at(0))] =
+          fields.at(1).to_number<double>() / kDemandScale;
     }
     for (const auto& entry : object.at("needs").as_array()) {
       const auto& fields = entry.as_array();
--- a/modules/baobab_gateway/peer_report.h
+++ b/modules/baobab_gateway/peer_report.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "baobab_gateway/dispatcher.h"
@@ -33,12 +34,16 @@
   bool ready_ = false;     ///< Serves requests.
   bool stopping_ = false;  ///< Must get no new callers.
   std::int64_t manifest_version_ = 0;
-  std::int64_t store_revision_ = 0;
+  /// Store revision of the last change that decides where requests may go.
+  std::int64_t important_revision_ = 0;
   bool store_connected_ = false;  ///< Its last call to the store succeeded.
   /// Fencing token, if it holds the right to give orders; else 0.
   std::int64_t fencing_token_ = 0;
+  /// Targets to which it gave orders of late, and the time since then.
+  std::vector<std::pair<std::string, Duration>> recent_orders_;
   WorkByTarget work_;
-  std::map<std::string, double> demand_;  ///< Tokens per second by model.
+  // For the holder of orders only:
+  std::map<std::string, double> demand_;  ///< Engine time per time, by model.
   std::vector<AdapterNeed> needs_;
   std::vector<AdapterUse> uses_;
   std::vector<HoldingChange> changes_;  ///< Recent ones, from the holder only.
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -53,9 +53,12 @@
   /// this long, which together with the call's time limit is below the 3 s
   /// after which the sites expect an undisturbed instance to know of changes.
   static constexpr Duration kWatchWait = std::chrono::milliseconds(2500);
-  /// Pause between two watches. Changes that come in quick succession arrive
-  /// together; each call to the store is priced.
+  /// Pause between two watches of a reader. Changes that come in quick
+  /// succession arrive together; each call to the store is priced.
   static constexpr Duration kWatchPause = std::chrono::milliseconds(200);
+  /// Pause of the other instances. They read at once when a peer has heard of a
+  /// change that matters; the rest, such as loaded adapters, can wait.
+  static constexpr Duration kLazyPause = std::chrono::seconds(4);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
   static constexpr Duration kLongestBackoff = std::chrono::milliseconds(800);
 
@@ -94,6 +97,22 @@
     return raw_targets_;
   }
 
+  /// Revision of the last change that decides where requests may go.
+  [[nodiscard]] auto important_revision() const -> std::int64_t {
+    return important_revision_;
+  }
+
+  /// Sets whether this instance reads every change at once, for others too.
+  auto SetReader(bool reader) -> void { reader_ = reader; }
+
+  /// A peer has heard of a change that matters at `revision`.
+  auto OnHint(std::int64_t revision) -> void {
+    if (revision > revision_ && paused_) {
+      paused_ = false;
+      Watch();
+    }
+  }
+
   /// Takes state from a peer. It is used only where it is newer.
   auto AdoptManifest(const std::string& text) -> void {
     TakeManifest(text, "peer");
@@ -198,9 +217,14 @@
       Announce();
       if (listing.items_.empty()) {
         Watch();
-      } else {
-        Later(kWatchPause, [this] { Watch(); });
+        return;
       }
+      paused_ = true;
+      Later(reader_ ? kWatchPause : kLazyPause, [this] {
+        if (std::exchange(paused_, false)) {
+          Watch();
+        }
+      });
     });
   }
 
@@ -208,6 +232,9 @@
     const auto prefix = Codec::TargetPrefix();
     if (item.key_ == Codec::ManifestKey()) {
       if (!item.removed_) {
+        if (item.value_ != manifest_text_) {
+          MarkImportant(item.revision_);
+        }
         TakeManifest(item.value_, "store");
       }
     } else if (item.key_.starts_with(prefix)) {
@@ -216,7 +243,10 @@
       if (!item.removed_) {
         seen_targets_.insert(id);
         TakeTarget(id, item.value_, item.revision_);
-      } else if (Now() < grace_until_) {
+        return;
+      }
+      MarkImportant(item.revision_);
+      if (Now() < grace_until_) {
         registry_.Lapse(id, item.revision_, grace_until_);
         ExpireLater();
       } else {
@@ -268,6 +298,12 @@
     try {
       auto registration = Codec::DecodeTarget(id, text);
       const auto* known = registry_.Find(id);
+      if (known == nullptr ||
+          known->registration_.leaving_ != registration.leaving_ ||
+          known->registration_.born_ms_ != registration.born_ms_ ||
+          known->registration_.models_.size() != registration.models_.size()) {
+        MarkImportant(revision);
+      }
       if (known == nullptr ||
           known->registration_.leaving_ != registration.leaving_) {
         LogEvent(LogLevel::kInfo, "target_registered")
@@ -288,6 +324,10 @@
     }
   }
 
+  auto MarkImportant(std::int64_t revision) -> void {
+    important_revision_ = std::max(important_revision_, revision);
+  }
+
   auto Announce() -> void {
     if (std::exchange(manifest_changed_, false)) {
       handlers_.on_manifest_(manifest_);
@@ -357,6 +397,9 @@
   TimePoint grace_until_{};
   std::int64_t revision_ = 0;
   std::int64_t list_revision_ = 0;
+  std::int64_t important_revision_ = 0;
+  bool reader_ = true;
+  bool paused_ = false;
   bool manifest_changed_ = false;
   bool targets_changed_ = false;
   bool listed_ = false;
