--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -331,6 +331,7 @@
     const auto now = Now();
     directory_.Expire(now);
     holder_.SetStoreConnected(sync_.is_connected());
+    gateway_.SetStoreConnected(sync_.is_connected());
     if (!sync_.is_connected()) {
       if (const auto at = directory_.StoreAwayForAllSince(now)) {
         // Reports take a moment to arrive: they speak of an earlier time.
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -113,6 +113,11 @@
     retries_.SetInstances(instances);
   }
 
+  /// Tells whether this instance reaches the store.
+  auto SetStoreConnected(bool connected) -> void {
+    store_connected_ = connected;
+  }
+
   /// Announces the end of each connection in its next response.
   auto BeginStop() -> void { server_.CloseAfterResponses(); }
 
@@ -203,7 +208,7 @@
     const auto& facts = active.facts_;
     if (!manifest_ || registry_ == nullptr) {
       Refuse(exchange, facts.id_, RefusalReason::kNotRun, "no_manifest",
-             kNoManifestRetry);
+             store_connected_ ? kNoManifestRetry : kNoStoreRetry);
       return;
     }
     if (refusing_) {
@@ -626,6 +631,9 @@
 
   /// A starting instance has its manifest after a few store calls.
   static constexpr Duration kNoManifestRetry = std::chrono::milliseconds(300);
+  /// Without the store, nobody knows how long it takes. Callers come back once;
+  /// outages of the store last several seconds.
+  static constexpr Duration kNoStoreRetry = std::chrono::milliseconds(2000);
   /// Another instance serves the request at once.
   static constexpr Duration kStoppingRetry = std::chrono::milliseconds(20);
   /// About the time in which a target's place becomes free or another target
@@ -640,6 +648,7 @@
   TimePoint armed_ = TimePoint::max();
   bool pump_soon_ = false;
   bool refusing_ = false;
+  bool store_connected_ = false;
   std::shared_ptr<const Manifest> manifest_;
   RouteTable routes_;
   const TargetRegistry* registry_ = nullptr;
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -60,7 +60,7 @@
   /// change that matters; the rest, such as loaded adapters, can wait.
   static constexpr Duration kLazyPause = std::chrono::seconds(4);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
-  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(800);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(500);
 
   StateSync(boost::asio::io_context& io, Store& store, std::string own_prefix,
             Handlers handlers)
@@ -300,8 +300,8 @@
       const auto* known = registry_.Find(id);
       if (known == nullptr ||
           known->registration_.leaving_ != registration.leaving_ ||
-          known->registration_.born_ms_ != registration.born_ms_ ||
-          known->registration_.models_.size() != registration.models_.size()) {
+          known->registration_.born_ms_ != registration.born_ms_) {
+        // The holder of orders announces what targets load and unload.
         MarkImportant(revision);
       }
       if (known == nullptr ||
