--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -18,7 +18,7 @@
 constexpr Duration kChangeAge = std::chrono::seconds(3);
 /// An engine that does not answer is asked again after this time.
 constexpr Duration kReportRetry = std::chrono::milliseconds(700);
-/// Added to the need of a model without a copy, so that it goes first.
+/// Gain of the first copy of a model that is asked for: it goes first.
 constexpr double kMissingNeed = 1e12;
 /// An adapter that is wanted although it is loaded is verified this often.
 constexpr Duration kVerifyInterval = std::chrono::milliseconds(500);
@@ -145,6 +145,29 @@
   }
 }
 
+auto OrderPlanner::GainOfCopy(const std::string& model) const -> double {
+  const auto found = copies_.find(model);
+  const auto copies = found == copies_.end() ? 0 : found->second;
+  const auto weight = Weight(model);
+  if (copies > 0) {
+    return weight / static_cast<double>(copies + 1);
+  }
+  return all_fit_ || weight > settings_.negligible_ ? kMissingNeed
+                                                    : settings_.unused_copy_;
+}
+
+auto OrderPlanner::CostOfCopy(const std::string& model) const -> double {
+  const auto found = copies_.find(model);
+  const auto copies = found == copies_.end() ? 0 : found->second;
+  const auto weight = Weight(model);
+  if (copies > 1) {
+    return weight / static_cast<double>(copies - 1);
+  }
+  return all_fit_ || weight > settings_.negligible_
+             ? std::numeric_limits<double>::max()
+             : settings_.unused_copy_;
+}
+
 auto OrderPlanner::UpdateDemand(TimePoint now) -> void {
   const auto elapsed = std::chrono::duration<double>(now - demand_at_);
   demand_at_ = now;
@@ -218,13 +241,12 @@
 
 auto OrderPlanner::PlaceCopy(const std::string& service,
                              const EngineSpec& engine, const std::string& model,
-                             bool missing, TimePoint now) -> bool {
+                             TimePoint now) -> bool {
   const auto* spec = Spec(engine, model);
   if (spec == nullptr) {
     return false;
   }
-  const auto own_copies = static_cast<double>(copies_[model]);
-  const auto gained = Weight(model) / (own_copies + 1);
+  const auto gain = GainOfCopy(model);
   const bool may_load_from_store =
       MayLoadFromStore(engine, PlannedStoreLoads(), now);
   Server* best = nullptr;
@@ -248,9 +270,8 @@
     if (UsedMb(server, engine) + spec->memory_mb_ > engine.weights_mb_) {
       double least = std::numeric_limits<double>::max();
       for (const auto& [resident, adapters] : server.models_) {
-        const auto copies = copies_[resident];
         const auto* resident_spec = Spec(engine, resident);
-        if (resident_spec == nullptr || copies < 2 ||
+        if (resident_spec == nullptr ||
             UsedMb(server, engine) - resident_spec->memory_mb_ -
                     resident_spec->adapter_mb_ *
                         static_cast<double>(adapters.size()) +
@@ -258,14 +279,15 @@
                 engine.weights_mb_) {
           continue;
         }
-        const auto lost = Weight(resident) / static_cast<double>(copies - 1);
+        const auto lost = CostOfCopy(resident);
         if (lost < least) {
           least = lost;
           victim = resident;
         }
       }
-      if (victim.empty() ||
-          (!missing && gained < settings_.move_gain_ * least)) {
+      // Before any demand is known, the placement at hand says most of it.
+      if (victim.empty() || (total_demand_ <= 0 && !all_fit_) ||
+          gain < settings_.move_gain_ * least) {
         continue;
       }
       cost += least;
@@ -302,11 +324,13 @@
                               const EngineSpec& engine, TimePoint now) -> void {
   copies_.clear();
   bool all_known = true;
+  double room_mb = 0;
   for (const auto& [id, server] : servers_) {
     if (server.registration_.service_ != service ||
         server.registration_.leaving_) {
       continue;
     }
+    room_mb += engine.weights_mb_;
     all_known = all_known && (server.seen_ || server.failed_reports_ > 1);
     for (const auto& [model, adapters] : server.models_) {
       ++copies_[model];
@@ -322,6 +346,11 @@
       }
     }
   }
+  double models_mb = 0;
+  for (const auto& model : engine.models_) {
+    models_mb += model.memory_mb_;
+  }
+  all_fit_ = models_mb <= settings_.fit_share_ * room_mb;
   if (!all_known) {
     return;  // a copy that has not been seen yet may exist
   }
@@ -330,14 +359,14 @@
     const auto weight = Weight(model.name_);
     const auto copies = copies_[model.name_];
     if (copies <= 0) {
-      by_need.emplace_back(kMissingNeed + weight, model.name_);
+      by_need.emplace_back(GainOfCopy(model.name_) + weight, model.name_);
     } else if (weight / static_cast<double>(copies) > settings_.busy_copy_) {
       by_need.emplace_back(weight / static_cast<double>(copies), model.name_);
     }
   }
   std::sort(by_need.rbegin(), by_need.rend());
   for (const auto& [need, model] : by_need) {
-    PlaceCopy(service, engine, model, copies_[model] <= 0, now);
+    PlaceCopy(service, engine, model, now);
   }
 }
 
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -27,6 +27,14 @@
   /// gets another one. Demand doubles within seconds and a load takes about
   /// four.
   double busy_copy_ = 0.15;
+  /// Every model keeps a copy if all models together take at most this share of
+  /// the memory of all engines; the rest is for further copies.
+  double fit_share_ = 0.85;
+  /// Otherwise: value of a copy of a model that nobody asked for lately, in the
+  /// same unit as demand. It takes places that serve next to nothing.
+  double unused_copy_ = 0.01;
+  /// Demand below which a model counts as not asked for.
+  double negligible_ = 0.003;
   /// Time constant over which demand is averaged: a single long prompt for a
   /// rare model must not look like a shift of demand.
   Duration smoothing_ = std::chrono::milliseconds(2000);
@@ -63,12 +71,13 @@
 
 /// Decides which engine holds which models and adapters.
 ///
-/// Every model keeps a copy. The places that remain go to the models with the
-/// largest demand per copy. Answers the shift of demand from some models to
-/// others, the crash of engines, which lose what they held, and orders that get
-/// no answer and are carried out late: an order names the number of orders that
-/// its engine must have accepted, and its memory counts until a report shows
-/// how it ended.
+/// A model that is asked for keeps a copy. The other places go to the models
+/// with the largest demand per copy, and what serves next to nothing to models
+/// that nobody has asked for yet. Answers the shift of demand from some models
+/// to others, the crash of engines, which lose what they held, and orders that
+/// get no answer and are carried out late: an order names the number of orders
+/// that its engine must have accepted, and its memory counts until a report
+/// shows how it ended.
 class OrderPlanner {
  public:
   explicit OrderPlanner(PlannerSettings settings) : settings_(settings) {}
@@ -147,8 +156,13 @@
   auto UpdateDemand(TimePoint now) -> void;
   auto PlanModels(const std::string& service, const EngineSpec& engine,
                   TimePoint now) -> void;
+  /// Returns what another copy of `model` is worth.
+  [[nodiscard]] auto GainOfCopy(const std::string& model) const -> double;
+  /// Returns what is lost with a copy of `model`; infinite for the last copy of
+  /// a model that is asked for.
+  [[nodiscard]] auto CostOfCopy(const std::string& model) const -> double;
   auto PlaceCopy(const std::string& service, const EngineSpec& engine,
-                 const std::string& model, bool missing, TimePoint now) -> bool;
+                 const std::string& model, TimePoint now) -> bool;
   auto PlanAdapters(TimePoint now, std::vector<PlannerAction>& actions) -> void;
   auto Advance(const std::string& id, Server& server, TimePoint now,
                std::vector<PlannerAction>& actions) -> void;
@@ -174,6 +188,7 @@
   std::deque<TimePoint> store_loads_;
   std::deque<Change> changes_;
   std::map<std::string, std::int64_t> copies_;
+  bool all_fit_ = true;
   double total_demand_ = 0;
   double top_demand_ = 0;
   TimePoint demand_at_{};
