--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -283,7 +283,7 @@
   return choice;
 }
 
-auto Dispatcher::PredictedWait(const WorkItem& item, TimePoint now)
+auto Dispatcher::PredictedWait(const WorkItem& item, TimePoint now) const
     -> std::optional<Duration> {
   // Work ahead of the request at all targets that hold its model, and in the
   // queue of this instance, over the speed of these targets together.
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -115,6 +115,11 @@
   [[nodiscard]] auto Submit(WorkItem item, TimePoint now)
       -> std::optional<Rejection>;
 
+  /// Returns how long `item` is expected to wait, or nothing if no target holds
+  /// what it needs.
+  [[nodiscard]] auto PredictedWait(const WorkItem& item, TimePoint now) const
+      -> std::optional<Duration>;
+
   /// Returns the requests to send now.
   [[nodiscard]] auto Assign(TimePoint now) -> std::vector<Assignment>;
 
@@ -205,8 +210,6 @@
   auto Release(WorkId id) -> std::optional<Sent>;
   [[nodiscard]] auto Engine(const std::string& service) const
       -> const EngineSpec*;
-  [[nodiscard]] auto PredictedWait(const WorkItem& item, TimePoint now)
-      -> std::optional<Duration>;
 
   DispatchSettings settings_;
   std::string zone_;
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -258,6 +258,18 @@
       return;
     }
     Pump();
+    const auto found = active_.find(item.id_);
+    if (found == active_.end() || found->second.attempt_) {
+      return;
+    }
+    const auto wait = dispatcher_.PredictedWait(item, now);
+    LogEvent(LogLevel::kInfo, "request_queued")
+        .With("id", found->second.facts_.id_)
+        .With("model", item.generation_.model_)
+        .With("adapter", item.generation_.adapter_)
+        .With("predicted_wait_ms", wait ? Milliseconds(*wait) : -1)
+        .With("waiting", dispatcher_.waiting())
+        .With("left_ms", Milliseconds(item.limit_at_ - now));
   }
 
   auto StartAttempt(const Assignment& assignment) -> void {
