--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -396,7 +396,8 @@
       store_.KeepLease(registration_lease_, [this](auto result) {
         if (const auto* failure = std::get_if<StoreFailure>(&result);
             failure != nullptr && *failure == StoreFailure::kNoLease) {
-          LogEvent(LogLevel::kWarning, "registration_lapsed");
+          LogEvent(LogLevel::kWarning, "registration_lapsed")
+              .With("lease", registration_lease_);
           registration_lease_ = 0;
         }
         RegisterLater(registration_lease_ == 0 ? Duration::zero()
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -210,8 +210,9 @@
     const bool known_other = !last_holder_.empty() &&
                              last_holder_ != kReleasedMark &&
                              !IsOwn(last_holder_);
+    const Duration contention{draw(random_)};
     compete_.expires_after((known_other ? kPreferLast : Duration::zero()) +
-                           Duration(draw(random_)));
+                           contention);
     compete_.async_wait([this](boost::system::error_code error) {
       competing_ = false;
       if (!error && vacant_ && !stopping_) {
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -23,6 +23,7 @@
 #include "baobab_gateway/dispatcher.h"
 #include "baobab_gateway/event_stream.h"
 #include "baobab_gateway/gateway_metrics.h"
+#include "baobab_gateway/hold_policy.h"
 #include "baobab_gateway/ingress_types.h"
 #include "baobab_gateway/instance_settings.h"
 #include "baobab_gateway/retry_ledger.h"
@@ -68,6 +69,7 @@
                    OnCallerBlocked(exchange, blocked);
                  }}),
         timer_(io),
+        hold_timer_(io),
         dispatcher_(DispatchSettings(), settings.zone_),
         retries_(settings.retries_),
         random_(std::random_device{}()) {}
@@ -106,6 +108,7 @@
   auto SetTargets(const TargetRegistry& registry) -> void {
     registry_ = &registry;
     dispatcher_.SetTargets(registry, Now());
+    ReleaseHeld(Now());
     Pump();
   }
 
@@ -127,6 +130,7 @@
   auto RefuseNew() -> void {
     refusing_ = true;
     server_.StopAccepting();
+    ReleaseHeld(Now());
     std::vector<WorkId> unsent;
     for (const auto& [id, active] : active_) {
       if (!active.attempt_ && !active.begun_) {
@@ -191,27 +195,95 @@
     TimePoint sent_at_{};
   };
 
+  struct Held {
+    HttpRequest request_;
+    IngressRequest facts_;
+    TimePoint arrived_{};
+    TimePoint until_{};
+  };
+
   [[nodiscard]] static auto Now() -> TimePoint {
     return std::chrono::time_point_cast<Duration>(
         std::chrono::steady_clock::now());
   }
 
   auto OnRequest(ExchangeId exchange, HttpRequest request) -> void {
-    const auto now = Now();
-    Active active;
-    active.exchange_ = exchange;
+    IngressRequest facts;
     try {
-      active.facts_ = Codec::Decode(request);
+      facts = Codec::Decode(request);
     } catch (const StepError& error) {
       Refuse(exchange, "", RefusalReason::kMalformed, error.what(), {});
       return;
     }
-    const auto& facts = active.facts_;
-    if (!manifest_ || registry_ == nullptr) {
-      Refuse(exchange, facts.id_, RefusalReason::kNotRun, "no_manifest",
-             store_connected_ ? kNoManifestRetry : kNoStoreRetry);
-      return;
+    const auto now = Now();
+    if (!IsComplete() && !refusing_) {
+      Hold(exchange, std::move(request), std::move(facts), now);
+    } else {
+      Admit(exchange, std::move(request), std::move(facts), now);
     }
+  }
+
+  [[nodiscard]] auto IsComplete() const -> bool {
+    return manifest_ && registry_ != nullptr;
+  }
+
+  /// Keeps a request for a while that arrives before the routes are known.
+  auto Hold(ExchangeId exchange, HttpRequest request, IngressRequest facts,
+            TimePoint now) -> void {
+    const auto until = now + HoldPolicy::LongestHold(facts.time_left_);
+    LogEvent(LogLevel::kInfo, "request_held")
+        .With("id", facts.id_)
+        .With("reason", "no_manifest")
+        .With("longest_ms", Milliseconds(until - now));
+    held_.emplace(exchange,
+                  Held{std::move(request), std::move(facts), now, until});
+    if (held_.size() == 1) {
+      WaitForHeld();
+    }
+  }
+
+  auto WaitForHeld() -> void {
+    hold_timer_.expires_after(kHoldCheck);
+    hold_timer_.async_wait([this](boost::system::error_code error) {
+      if (error) {
+        return;
+      }
+      ReleaseHeld(Now());
+      if (!held_.empty()) {
+        WaitForHeld();
+      }
+    });
+  }
+
+  /// Admits the held requests once the routes are known, and refuses those that
+  /// were held for too long.
+  auto ReleaseHeld(TimePoint now) -> void {
+    std::vector<ExchangeId> due;
+    for (const auto& [exchange, held] : held_) {
+      if (IsComplete() || refusing_ || held.until_ <= now) {
+        due.push_back(exchange);
+      }
+    }
+    for (const auto exchange : due) {
+      auto node = held_.extract(exchange);
+      auto& held = node.mapped();
+      if (IsComplete()) {
+        Admit(exchange, std::move(held.request_), std::move(held.facts_),
+              held.arrived_);
+      } else {
+        Refuse(exchange, held.facts_.id_, RefusalReason::kNotRun, "no_manifest",
+               store_connected_ ? kNoManifestRetry : kNoStoreRetry);
+      }
+    }
+  }
+
+  auto Admit(ExchangeId exchange, HttpRequest request, IngressRequest decoded,
+             TimePoint arrived) -> void {
+    const auto now = Now();
+    Active active;
+    active.exchange_ = exchange;
+    active.facts_ = std::move(decoded);
+    const auto& facts = active.facts_;
     if (refusing_) {
       Refuse(exchange, facts.id_, RefusalReason::kNotRun, "stopping",
              kStoppingRetry);
@@ -237,11 +309,11 @@
       item.generation_ = *facts.generation_;
     }
     item.priority_ = route.priority_;
-    item.arrived_ = now;
-    item.objective_at_ = now + route.objective_;
+    item.arrived_ = arrived;
+    item.objective_at_ = arrived + route.objective_;
     item.limit_at_ =
-        now + std::min(facts.time_left_.value_or(route.time_limit_),
-                       route.time_limit_);
+        arrived + std::min(facts.time_left_.value_or(route.time_limit_),
+                           route.time_limit_);
     retries_.OnRequest(item.service_, now);
     metrics_.Add("gateway_requests_total", Label("route", route.name_));
     const auto id = item.id_;
@@ -498,6 +570,7 @@
   }
 
   auto OnCallerGone(ExchangeId exchange) -> void {
+    held_.erase(exchange);
     const auto found = by_exchange_.find(exchange);
     if (found == by_exchange_.end()) {
       return;
@@ -644,6 +717,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
   }
 
+  static constexpr Duration kHoldCheck = std::chrono::milliseconds(50);
   /// A starting instance has its manifest after a few store calls.
   static constexpr Duration kNoManifestRetry = std::chrono::milliseconds(300);
   /// Without the store, nobody knows how long it takes. Callers come back once;
@@ -660,6 +734,8 @@
   std::shared_ptr<ConnectionPool> pool_;
   HttpServer server_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer hold_timer_;
+  std::map<ExchangeId, Held> held_;
   TimePoint armed_ = TimePoint::max();
   bool pump_soon_ = false;
   bool refusing_ = false;
