--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -47,7 +47,10 @@
   static constexpr Duration kUrgentInterval = std::chrono::milliseconds(10);
   /// Lease of the own registration, and the interval of its renewal.
   static constexpr Duration kRegistrationTime = std::chrono::seconds(6);
-  static constexpr Duration kRegistrationInterval = std::chrono::seconds(2);
+  static constexpr Duration kRegistrationInterval = std::chrono::seconds(1);
+  /// The store counts as away if no call was answered for this long: a renewal
+  /// of the registration, and the answer of a slow store.
+  static constexpr Duration kStoreSilence = std::chrono::milliseconds(1700);
   /// How long callers keep an answer of the directory.
   static constexpr Duration kDirectoryAge = std::chrono::seconds(2);
   /// Least time from the stop signal to the end of the process: callers with
@@ -257,6 +260,7 @@
       ApplyChange(change);
     }
     sync_.OnHint(report.important_revision_);
+    holder_.OnOtherHolder(report.fencing_token_);
     if (report.fencing_token_ == 0) {
       holder_.OnOtherIsNoHolder(Mark(report.instance_, report.incarnation_),
                                 report.recent_orders_);
@@ -327,9 +331,10 @@
   auto SendReport(bool to_holder_only = false) -> void {
     const auto now = Now();
     directory_.Expire(now);
-    holder_.SetStoreConnected(sync_.is_connected());
-    gateway_.SetStoreConnected(sync_.is_connected());
-    if (!sync_.is_connected()) {
+    const bool store_connected = now - store_.last_answer() <= kStoreSilence;
+    holder_.SetStoreConnected(store_connected);
+    gateway_.SetStoreConnected(store_connected);
+    if (!store_connected) {
       if (const auto at = directory_.StoreAwayForAllSince(now)) {
         // Reports take a moment to arrive: they speak of an earlier time.
         holder_.OnStoreAwayForAll(BootTime() - (now - *at) - kReportTravel);
@@ -349,7 +354,7 @@
     report.manifest_version_ =
         sync_.manifest() ? sync_.manifest()->version_ : 0;
     report.important_revision_ = sync_.important_revision();
-    report.store_connected_ = sync_.is_connected();
+    report.store_connected_ = store_connected;
     report.fencing_token_ = holder_.fencing_token();
     report.work_ = dispatcher.OwnWork(now);
     report.recent_orders_ = holder_.RecentOrders();
--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -73,7 +73,7 @@
   std::optional<TimePoint> oldest;
   for (const auto& [name, instance] : instances_) {
     if (!instance.heard_ || instance.store_connected_ ||
-        now - instance.heard_at_ > kSilence) {
+        instance.fencing_token_ != 0 || now - instance.heard_at_ > kSilence) {
       return std::nullopt;
     }
     oldest = std::min(oldest.value_or(now), instance.heard_at_);
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -68,8 +68,8 @@
   [[nodiscard]] auto IsReader(const std::string& own, TimePoint now) const
       -> bool;
   /// Returns the time of the oldest last report if every known instance has
-  /// reported that it does not reach the store, and lately enough; nothing
-  /// otherwise, or if no other instance is known.
+  /// reported that it neither reaches the store nor gives orders, and lately
+  /// enough; nothing otherwise, or if no other instance is known.
   [[nodiscard]] auto StoreAwayForAllSince(TimePoint now) const
       -> std::optional<TimePoint>;
   /// Returns the number of instances that are alive or may be, with this one.
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -124,6 +124,13 @@
         .With("blocked_targets", blocked_until_.size());
   }
 
+  /// Another process is the holder under `token`, or gave orders of late.
+  auto OnOtherHolder(std::int64_t token) -> void {
+    if (lease_.is_held() && token > lease_.fencing_token()) {
+      Lost("replaced");
+    }
+  }
+
   /// Targets to which this process gave orders of late.
   [[nodiscard]] auto RecentOrders() const
       -> std::vector<std::pair<std::string, Duration>> {
@@ -171,8 +178,13 @@
   /// Plans at once, for example because a need was reported.
   auto Pump() -> void {
     const auto boot_now = BootTime();
-    if (lease_.is_held() && lease_.HasLapsed(boot_now)) {
-      Lost("not_renewed");
+    if (lease_.is_held() && lease_.HasLapsed(boot_now) != lapsed_) {
+      // It stays the holder until it hears that the lease has ended: a renewal,
+      // or all instances reporting that the store is away, lets it go on.
+      lapsed_ = !lapsed_;
+      LogEvent(LogLevel::kWarning, "holder_right")
+          .With("fence", lease_.fencing_token())
+          .With("state", lapsed_ ? "lapsed" : "renewed");
     }
     if (!lease_.MayOrder(boot_now)) {
       return;
@@ -274,6 +286,7 @@
   auto Acquired(std::int64_t revision, Duration sent) -> void {
     lease_.Acquire(revision, origin_, sent, BootTime());
     blocked_until_.clear();
+    lapsed_ = false;
     planner_.Begin(/*may_have_loaded=*/true, Now());
     LogEvent(LogLevel::kInfo, "holder_acquired")
         .With("fence", revision)
@@ -431,6 +444,7 @@
   std::int64_t lease_id_ = 0;
   Duration grant_sent_{};
   Duration next_renewal_{};
+  bool lapsed_ = false;
   bool started_ = false;
   bool stopping_ = false;
   bool competing_ = false;
