--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -57,8 +57,10 @@
   /// succession arrive together; each call to the store is priced.
   static constexpr Duration kWatchPause = std::chrono::milliseconds(200);
   /// Pause of the other instances. They read at once when a peer has heard of a
-  /// change that matters; the rest, such as loaded adapters, can wait.
-  static constexpr Duration kLazyPause = std::chrono::seconds(4);
+  /// change that matters. A hint may be lost, or no reader may reach the store:
+  /// the pause alone must keep the 2 s in which the sites expect that a leaving
+  /// target gets no more requests.
+  static constexpr Duration kLazyPause = std::chrono::milliseconds(1400);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
   static constexpr Duration kLongestBackoff = std::chrono::milliseconds(500);
 
--- /dev/null
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -0,0 +1,138 @@
+#include "baobab_gateway/state_sync.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace baobab::gateway {
+namespace {
+
+/// Reads "version" as a manifest and any text but "bad" as a registration.
+struct TextCodec {
+  [[nodiscard]] static auto ManifestKey() -> std::string { return "config"; }
+  [[nodiscard]] static auto TargetPrefix() -> std::string { return "targets/"; }
+  [[nodiscard]] static auto DecodeManifest(const std::string& text)
+      -> Manifest {
+    Manifest manifest;
+    manifest.version_ = std::stoll(text);
+    return manifest;
+  }
+  [[nodiscard]] static auto DecodeTarget(const std::string& id,
+                                         const std::string& text)
+      -> TargetRegistration {
+    if (text == "bad") {
+      throw StepError("registration.decode", id, "unreadable");
+    }
+    TargetRegistration registration;
+    registration.id_ = id;
+    registration.leaving_ = text == "leaving";
+    return registration;
+  }
+};
+
+/// A store whose answers the test gives one by one.
+struct ScriptedStore {
+  using Reply = StoreReply<StoreListing>;
+  auto Range(const std::string&, const std::string&, Reply reply) -> void {
+    range_ = std::move(reply);
+  }
+  auto Watch(const std::string&, std::int64_t revision, Duration, Reply reply)
+      -> void {
+    watched_after_ = revision;
+    watch_ = std::move(reply);
+  }
+  Reply range_;
+  Reply watch_;
+  std::int64_t watched_after_ = -1;
+};
+
+struct Fixture {
+  Fixture()
+      : sync_(io_, store_, "own/",
+              {[this](const auto& manifest) { version_ = manifest->version_; },
+               [this](const auto&) { ++target_updates_; },
+               [this](const auto& item) { own_.push_back(item); }}) {
+    sync_.Start();
+  }
+
+  auto List(std::vector<StoreItem> items, std::int64_t revision) -> void {
+    auto reply = std::exchange(store_.range_, nullptr);
+    reply(StoreListing{std::move(items), false, revision});
+  }
+  auto Change(std::vector<StoreItem> items, std::int64_t revision) -> void {
+    auto reply = std::exchange(store_.watch_, nullptr);
+    reply(StoreListing{std::move(items), false, revision});
+  }
+
+  boost::asio::io_context io_;
+  ScriptedStore store_;
+  std::int64_t version_ = 0;
+  int target_updates_ = 0;
+  std::vector<StoreItem> own_;
+  StateSync<ScriptedStore, TextCodec> sync_;
+};
+
+// Guards against an older manifest that replaces a newer one, wherever it comes
+// from, and against an unreadable entry that hides the others.
+TEST_CASE("The picture of the store only moves forward", "[gateway]") {
+  Fixture fixture;
+  fixture.List({{"config", "5", 10, 0, false},
+                {"targets/a", "ready", 11, 0, false},
+                {"targets/b", "bad", 12, 0, false},
+                {"own/x", "1", 13, 7, false}},
+               20);
+  CHECK(fixture.version_ == 5);
+  CHECK(fixture.store_.watched_after_ == 20);
+  CHECK(fixture.sync_.is_complete());
+  CHECK(fixture.sync_.registry().Find("a") != nullptr);
+  CHECK(fixture.sync_.registry().Find("b") == nullptr);
+  CHECK(fixture.own_.size() == 1);
+  fixture.Change({{"config", "4", 21, 0, false}}, 21);
+  CHECK(fixture.version_ == 5);
+  fixture.sync_.AdoptManifest("3");
+  fixture.sync_.AdoptTarget("a", "leaving", 9);
+  fixture.sync_.FinishAdoption();
+  CHECK(fixture.version_ == 5);
+  CHECK_FALSE(fixture.sync_.registry().Find("a")->registration_.leaving_);
+}
+
+// Guards against requests for a target that left while the history was lost.
+TEST_CASE("Lost history leads to a new listing", "[gateway]") {
+  Fixture fixture;
+  fixture.List({{"config", "5", 10, 0, false},
+                {"targets/a", "ready", 11, 0, false},
+                {"own/x", "1", 12, 7, false}},
+               20);
+  auto reply = std::exchange(fixture.store_.watch_, nullptr);
+  reply(StoreFailure::kHistoryGone);
+  fixture.List({{"config", "6", 30, 0, false}}, 40);
+  CHECK(fixture.version_ == 6);
+  CHECK(fixture.sync_.registry().Find("a") == nullptr);
+  CHECK(fixture.own_.back().removed_);
+}
+
+// Guards against an instance that hears of a change and still waits, and, with
+// every hint lost, against reading later than a leaving target may be used
+// (grown site, 3,485 ms after the target said so; 2 s on the smaller sites).
+TEST_CASE("A hint ends the pause, and the pause alone keeps the bound",
+          "[gateway]") {
+  Fixture fixture;
+  fixture.sync_.SetReader(false);
+  fixture.List({{"config", "5", 10, 0, false}}, 20);
+  fixture.Change({{"targets/a", "ready", 21, 0, false}}, 21);
+  CHECK_FALSE(fixture.store_.watch_);
+  const auto [hint, reads] =
+      GENERATE(table<std::int64_t, bool>({{21, false}, {22, true}}));
+  fixture.sync_.OnHint(hint);
+  CHECK(static_cast<bool>(fixture.store_.watch_) == reads);
+  using Sync = StateSync<ScriptedStore, TextCodec>;
+  constexpr Duration kLeavingBound = std::chrono::seconds(2);
+  constexpr Duration kCallAndDispatch = std::chrono::milliseconds(500);
+  CHECK(Sync::kLazyPause + kCallAndDispatch < kLeavingBound);
+}
+
+}  // namespace
+}  // namespace baobab::gateway
