--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -277,8 +277,8 @@
     }
   }
 
-  auto Admit(ExchangeId exchange, HttpRequest request, IngressRequest decoded,
-             TimePoint arrived) -> void {
+  auto Admit(ExchangeId exchange, HttpRequest&& request,
+             IngressRequest&& decoded, TimePoint arrived) -> void {
     const auto now = Now();
     Active active;
     active.exchange_ = exchange;
