--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -82,7 +82,7 @@
                [this](const auto& item) { OnOwnItem(item); }}),
         holder_(io, store_, kHolderKey, settings_.instance_,
                 Mark(settings_.instance_, incarnation_), settings_.order_turn_,
-                gateway_.pool(), metrics_,
+                Planner(settings_), gateway_.pool(), metrics_,
                 [this] { ReportSoon(/*to_holder_only=*/false); }),
         peers_(io, settings_.address_, settings_.peer_port_,
                [this](const PeerReport& report) { OnPeer(report); }),
@@ -135,6 +135,13 @@
         std::chrono::steady_clock::now());
   }
 
+  [[nodiscard]] static auto Planner(const InstanceSettings& settings)
+      -> PlannerSettings {
+    PlannerSettings planner;
+    planner.load_window_ = settings.load_window_;
+    return planner;
+  }
+
   /// Names one process of an instance.
   [[nodiscard]] static auto Mark(const std::string& instance,
                                  std::int64_t incarnation) -> std::string {
--- a/modules/baobab_gateway/instance_settings.h
+++ b/modules/baobab_gateway/instance_settings.h
@@ -27,15 +27,12 @@
   std::vector<TargetEndpoint> seeds_;  ///< Control addresses of a few peers.
 
   TargetEndpoint store_;
-  double cpu_share_ = 1;  ///< Part of a core that the instance may use.
 
   Duration order_turn_{};  ///< Time between orders of two holders.
-  Duration thaw_{};
   Duration
       stop_grace_{};  ///< From the stop signal until the process is killed.
   Duration directory_age_{};  ///< Longest time that callers keep an answer.
   Duration load_window_{};    ///< Window over which loads are limited.
-  double load_excess_ = 1;    ///< Factor on the load rate that is tolerated.
   RetryBounds retries_;
 };
 
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -52,11 +52,11 @@
   static constexpr Duration kTurnMargin = std::chrono::milliseconds(300);
 
   /// `mark` names the process; `turn` is the time that must lie between orders
-  /// of two holders to one target.
+  /// of two holders to one target; `planner` bounds what is ordered.
   OrderHolder(boost::asio::io_context& io, Store& store, std::string key,
               std::string instance, std::string mark, Duration turn,
-              std::shared_ptr<ConnectionPool> pool, MetricsRegistry& metrics,
-              std::function<void()> on_changes)
+              PlannerSettings planner, std::shared_ptr<ConnectionPool> pool,
+              MetricsRegistry& metrics, std::function<void()> on_changes)
       : store_(store),
         key_(std::move(key)),
         last_key_(key_ + "/last"),
@@ -67,7 +67,7 @@
         metrics_(metrics),
         on_changes_(std::move(on_changes)),
         lease_(turn),
-        planner_(PlannerSettings()),
+        planner_(planner),
         tick_(io),
         compete_(io),
         random_(std::random_device{}()) {}
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -19,6 +19,7 @@
 
 /// Bounds and weights of placement decisions.
 struct PlannerSettings {
+  /// Window over which the platform counts loads from the weight store.
   Duration load_window_ = std::chrono::seconds(5);
   /// Loads from the weight store per window, in multiples of the store's rate.
   /// The tolerated excess is left for loads that start late.
--- a/modules/baobab_gateway/retry_ledger.h
+++ b/modules/baobab_gateway/retry_ledger.h
@@ -29,8 +29,8 @@
 
   explicit RetryLedger(RetryBounds bounds) : bounds_(bounds) {}
 
-  /// Sets the number of instances that may share the slack, including this
-  /// one. The largest number of the last window counts.
+  /// Sets the number of instances that may share the slack, including this one.
+  /// Instances that were heard of lately count too, whether alive or not.
   auto SetInstances(std::size_t instances) -> void { instances_ = instances; }
 
   /// Counts a request for `service`.
