--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -50,9 +50,9 @@
   };
 
   /// Longest wait of one watch. A connection that went silent hides changes for
-  /// this long, which together with the call's time limit is below the 3 s
-  /// after which the sites expect an undisturbed instance to know of changes.
-  static constexpr Duration kWatchWait = std::chrono::milliseconds(2500);
+  /// this long and the grace of the call: 2 s together, less than the 3 s after
+  /// which the sites expect an undisturbed instance to know of changes.
+  static constexpr Duration kWatchWait = std::chrono::milliseconds(1200);
   /// Pause between two watches of a reader. Changes that come in quick
   /// succession arrive together; each call to the store is priced.
   static constexpr Duration kWatchPause = std::chrono::milliseconds(200);
@@ -62,7 +62,7 @@
   /// target gets no more requests.
   static constexpr Duration kLazyPause = std::chrono::milliseconds(1400);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
-  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(500);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(400);
 
   StateSync(boost::asio::io_context& io, Store& store, std::string own_prefix,
             Handlers handlers)
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -132,6 +132,10 @@
   constexpr Duration kLeavingBound = std::chrono::seconds(2);
   constexpr Duration kCallAndDispatch = std::chrono::milliseconds(500);
   CHECK(Sync::kLazyPause + kCallAndDispatch < kLeavingBound);
+  // A watch on a connection that went silent, and the wait before the next one.
+  constexpr Duration kContact = std::chrono::seconds(3);
+  constexpr Duration kWatchGrace = std::chrono::milliseconds(800);
+  CHECK(Sync::kWatchWait + kWatchGrace + Sync::kLongestBackoff < kContact);
 }
 
 }  // namespace
