--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -61,6 +61,9 @@
   /// the pause alone must keep the 2 s in which the sites expect that a leaving
   /// target gets no more requests.
   static constexpr Duration kLazyPause = std::chrono::milliseconds(1400);
+  /// Registrations lapse after three missed heartbeats of 1.2 s. After a
+  /// shorter silence a removal means that the target left.
+  static constexpr Duration kShortestOutage = std::chrono::milliseconds(2400);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
   static constexpr Duration kLongestBackoff = std::chrono::milliseconds(400);
 
@@ -350,13 +353,14 @@
   }
 
   /// Records an answer of the store. Returns true if it is the first one after
-  /// an outage.
+  /// an outage in which registrations may have lapsed.
   auto OnContact() -> bool {
     backoff_.Reset();
     if (!std::exchange(connected_, true)) {
       LogEvent(LogLevel::kInfo, "store_reached").With("revision", revision_);
     }
-    return std::exchange(lost_, false);
+    const auto silence = Now() - std::exchange(last_contact_, Now());
+    return std::exchange(lost_, false) && silence >= kShortestOutage;
   }
 
   auto ExpireLater() -> void {
@@ -397,6 +401,7 @@
   std::set<std::string> seen_own_;
   std::set<std::string> own_keys_;
   TimePoint grace_until_{};
+  TimePoint last_contact_{};
   std::int64_t revision_ = 0;
   std::int64_t list_revision_ = 0;
   std::int64_t important_revision_ = 0;
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -114,6 +114,22 @@
   CHECK(fixture.own_.back().removed_);
 }
 
+// Guards against using a target that left for the grace period of an outage
+// because one call to the store failed (grown site, 3.5 s after it left).
+TEST_CASE("After one failed call a removal takes effect at once", "[gateway]") {
+  Fixture fixture;
+  fixture.List(
+      {{"config", "5", 10, 0, false}, {"targets/a", "ready", 11, 0, false}},
+      20);
+  auto reply = std::exchange(fixture.store_.watch_, nullptr);
+  reply(StoreFailure::kUnknown);
+  while (!fixture.store_.watch_) {
+    fixture.io_.run_one();
+  }
+  fixture.Change({{"targets/a", "", 21, 0, true}}, 21);
+  CHECK(fixture.sync_.registry().Find("a") == nullptr);
+}
+
 // Guards against an instance that hears of a change and still waits, and, with
 // every hint lost, against reading later than a leaving target may be used
 // (grown site, 3,485 ms after the target said so; 2 s on the smaller sites).
