--- a/modules/baobab_gateway/dispatch_replay_test.cc
+++ b/modules/baobab_gateway/dispatch_replay_test.cc
@@ -238,7 +238,7 @@
 }
 
 // Guards against a queue in which requests that are about to be late go first
-// and make all that follow late (on time 0.41 at this crest, 0.73 now).
+// and make all that follow late (on time 0.46 at this crest, 0.67 now).
 TEST_CASE("At the crest more requests are on time than by deadline alone",
           "[gateway][replay]") {
   struct Case {
