--- a/modules/baobab_gateway/read_schedule.h
+++ b/modules/baobab_gateway/read_schedule.h
@@ -18,6 +18,10 @@
   /// Pause of an instance that reads for others. Changes that come in quick
   /// succession arrive together.
   static constexpr Duration kReaderPause = std::chrono::milliseconds(200);
+  /// Least time from a read to the next one that a hint asks for: targets that
+  /// register one after the other at the start of a fleet would otherwise
+  /// bring a call of every instance each.
+  static constexpr Duration kHintPause = std::chrono::milliseconds(500);
   /// Longest time without a confirmation: it must keep the 2 s in which the
   /// sites expect that a leaving target gets no more requests.
   static constexpr Duration kUnconfirmed = std::chrono::milliseconds(1400);
@@ -31,6 +35,7 @@
   /// The store was read at `now`.
   auto OnRead(TimePoint now) -> void {
     read_at_ = now;
+    hinted_ = false;
     confirmed_at_ = std::max(confirmed_at_, now);
   }
 
@@ -39,15 +44,22 @@
     confirmed_at_ = std::max(confirmed_at_, at);
   }
 
+  /// A reader has heard of a change that matters and is not known here.
+  auto OnHint() -> void { hinted_ = true; }
+
   /// Returns when to read next.
   [[nodiscard]] auto NextRead() const -> TimePoint {
-    return reader_
-               ? read_at_ + kReaderPause
-               : std::min(read_at_ + kLongest, confirmed_at_ + kUnconfirmed);
+    if (reader_) {
+      return read_at_ + kReaderPause;
+    }
+    const auto next =
+        std::min(read_at_ + kLongest, confirmed_at_ + kUnconfirmed);
+    return hinted_ ? std::min(next, read_at_ + kHintPause) : next;
   }
 
  private:
-  bool reader_ = true;
+  bool reader_ = false;
+  bool hinted_ = false;
   TimePoint read_at_{};
   TimePoint confirmed_at_{};
 };
--- a/modules/baobab_gateway/read_schedule_test.cc
+++ b/modules/baobab_gateway/read_schedule_test.cc
@@ -43,6 +43,20 @@
   CHECK(now - start == test.reads_after_);
 }
 
+// Guards against a call of every instance for each of many changes in a row,
+// and against a hint that waits for the usual pause.
+TEST_CASE("A hint shortens the pause to a bound", "[gateway]") {
+  const auto hint_after = GENERATE(milliseconds(100), milliseconds(900));
+  ReadSchedule schedule;
+  const TimePoint start{seconds(100)};
+  schedule.OnRead(start);
+  schedule.OnConfirmed(start + hint_after);
+  schedule.OnHint();
+  CHECK(schedule.NextRead() == start + ReadSchedule::kHintPause);
+  schedule.OnRead(start + seconds(1));
+  CHECK(schedule.NextRead() == start + seconds(1) + ReadSchedule::kUnconfirmed);
+}
+
 // Guards against a report about an earlier time that shortens the pause.
 TEST_CASE("A confirmation of an earlier time changes nothing", "[gateway]") {
   ReadSchedule schedule;
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -121,9 +121,9 @@
   /// it has read the store, if it reads for others.
   auto OnHint(std::int64_t revision, std::optional<TimePoint> read_at) -> void {
     if (revision > revision_) {
+      schedule_.OnHint();
       if (paused_) {
-        paused_ = false;
-        Watch();
+        WaitForRead();
       }
     } else if (read_at) {
       schedule_.OnConfirmed(*read_at);
@@ -244,7 +244,7 @@
   }
 
   auto WaitForRead() -> void {
-    // A confirmation may move the time of the next read.
+    // A confirmation or a hint may move the time of the next read.
     Later(std::max(schedule_.NextRead() - Now(), kShortestPause), [this] {
       if (!paused_) {
         return;
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -143,6 +143,8 @@
   const auto [hint, reads] =
       GENERATE(table<std::int64_t, bool>({{21, false}, {22, true}}));
   fixture.sync_.OnHint(hint, std::nullopt);
+  fixture.io_.run_for(ReadSchedule::kHintPause +
+                      std::chrono::milliseconds(100));
   CHECK(static_cast<bool>(fixture.store_.watch_) == reads);
   using Sync = StateSync<ScriptedStore, TextCodec>;
   constexpr Duration kLeavingBound = std::chrono::seconds(2);
