Keep lapsed targets only after an outage of the store for all; end each grace period by itself

Requests went to targets 3.1 to 4.2 s after these had said that they leave (bound 3.0).

Change: reports of peers that read the store show that it was not away (OutageRecord); the timer runs to the earliest end of a grace period, and the log says when a target lapses. Refused and unanswered calls back off to 0.8 s (dark calls are priced); up to three copies of a model are planned at once.

--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -502,7 +502,7 @@
     store_.GrantLease(kRegistrationTime, [this](auto result) {
       const auto* lease = std::get_if<StoreLease>(&result);
       if (lease == nullptr) {
-        RegisterLater(kRegistrationInterval / 4);
+        RegisterLater(kRegistrationInterval);
         return;
       }
       StoreChange change;
@@ -517,8 +517,7 @@
           registration_lease_ = id;
           LogEvent(LogLevel::kInfo, "instance_registered").With("lease", id);
         }
-        RegisterLater(registration_lease_ != 0 ? kRegistrationInterval
-                                               : kRegistrationInterval / 4);
+        RegisterLater(kRegistrationInterval);
       });
     });
   }
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -409,10 +409,17 @@
       by_need.emplace(need, model.name_);
     }
   }
+  std::map<std::string, int> placed;
   while (!by_need.empty()) {
     const auto model = by_need.top().second;
     by_need.pop();
-    PlaceCopy(service, engine, model, now);
+    if (!PlaceCopy(service, engine, model, now)) {
+      continue;
+    }
+    const auto need = need_of(model);
+    if (++placed[model] < settings_.copies_per_plan_ && need > 0) {
+      by_need.emplace(need, model);
+    }
   }
 }
 
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -60,6 +60,9 @@
   /// A copy moves only if it serves at least this many times the demand that
   /// the copy which makes way does. Prevents moves back and forth.
   double move_gain_ = 1.5;
+  /// Copies of one model that may be planned at once. A shift of demand asks
+  /// for many within seconds, but each takes a place out of use for about 5 s.
+  int copies_per_plan_ = 3;
   /// Time constant with which past demand is forgotten: a model that was busy
   /// keeps copies until others need the room.
   Duration memory_ = std::chrono::seconds(8);
--- /dev/null
+++ b/modules/baobab_gateway/outage_record_test.cc
@@ -0,0 +1,50 @@
+#include "baobab_gateway/outage_record.h"
+
+#include <catch2/catch.hpp>
+
+namespace baobab::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against requests for a target that left, which an instance keeps for a
+// grace period because it was itself cut off from the store for 7 s (grown
+// Cascade, trouble-1: 3.1 to 4.2 s after the target said that it leaves).
+TEST_CASE("Registrations lapse only while nobody reaches the store",
+          "[gateway]") {
+  struct Case {
+    const char* what_;
+    bool failed_;
+    Duration silence_;
+    bool peer_reads_;  // every 600 ms
+    bool may_have_lapsed_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"no call failed", false, seconds(7), false, false},
+      {"one failed call", true, milliseconds(500), false, false},
+      {"an outage", true, seconds(7), false, true},
+      {"only this instance was cut off", true, seconds(7), true, false},
+  }));
+  INFO(test.what_);
+  OutageRecord record;
+  const TimePoint start{seconds(100)};
+  CHECK_FALSE(record.OnContact(start));
+  if (test.failed_) {
+    CHECK(record.OnFailure());
+    CHECK_FALSE(record.OnFailure());
+    CHECK_FALSE(record.is_connected());
+  }
+  if (test.peer_reads_) {
+    for (auto at = start; at < start + test.silence_; at += milliseconds(600)) {
+      record.OnPeerRead(at);
+    }
+  }
+  CHECK(record.OnContact(start + test.silence_) == test.may_have_lapsed_);
+  CHECK(record.is_connected());
+  // The answer is given once.
+  CHECK_FALSE(record.OnContact(start + test.silence_ + seconds(7)));
+}
+
+}  // namespace
+}  // namespace baobab::gateway
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -18,6 +18,7 @@
 #include "baobab_base/step_error.h"
 #include "baobab_base/time_types.h"
 #include "baobab_gateway/manifest.h"
+#include "baobab_gateway/outage_record.h"
 #include "baobab_gateway/read_schedule.h"
 #include "baobab_gateway/store_types.h"
 #include "baobab_gateway/target_registry.h"
@@ -56,13 +57,10 @@
   /// Wait of an instance that does not read for others: it only fetches what
   /// has happened.
   static constexpr Duration kFetchWait = std::chrono::milliseconds(1);
-  /// Registrations lapse after three missed heartbeats of 1.2 s. After a
-  /// shorter silence a removal means that the target left.
-  static constexpr Duration kShortestOutage = std::chrono::milliseconds(2400);
   /// Least time until the pause is looked at again.
   static constexpr Duration kShortestPause = std::chrono::milliseconds(5);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(80);
-  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(400);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(800);
 
   StateSync(boost::asio::io_context& io, Store& store, std::string own_prefix,
             Handlers handlers)
@@ -88,7 +86,9 @@
     return registry_;
   }
   [[nodiscard]] auto revision() const -> std::int64_t { return revision_; }
-  [[nodiscard]] auto is_connected() const -> bool { return connected_; }
+  [[nodiscard]] auto is_connected() const -> bool {
+    return outage_.is_connected();
+  }
   /// Returns true once a manifest and the targets are known.
   [[nodiscard]] auto is_complete() const -> bool {
     return manifest_ != nullptr && listed_;
@@ -115,7 +115,9 @@
   }
   [[nodiscard]] auto is_reader() const -> bool { return schedule_.is_reader(); }
   /// Time of the last answer of the store to a read.
-  [[nodiscard]] auto read_at() const -> TimePoint { return last_contact_; }
+  [[nodiscard]] auto read_at() const -> TimePoint {
+    return outage_.own_read_at();
+  }
 
   /// A peer has heard of a change that matters at `revision`. `read_at`: when
   /// it has read the store, if it reads for others.
@@ -277,6 +279,9 @@
       }
       MarkImportant(item.revision_);
       if (Now() < grace_until_) {
+        LogEvent(LogLevel::kInfo, "target_lapsed")
+            .With("target", id)
+            .With("revision", item.revision_);
         registry_.Lapse(id, item.revision_, grace_until_);
         ExpireLater();
       } else {
@@ -369,35 +374,48 @@
   }
 
   auto OnFailure(const char* call, StoreFailure failure) -> void {
-    if (std::exchange(connected_, false)) {
-      lost_ = true;
+    if (outage_.OnFailure()) {
       LogEvent(LogLevel::kWarning, "store_lost")
           .With("call", call)
           .With("failure", ToString(failure));
     }
   }
 
-  /// Records an answer of the store. Returns true if it is the first one after
-  /// an outage in which registrations may have lapsed.
+  /// Records an answer of the store. Returns true if registrations may have
+  /// lapsed before it.
   auto OnContact() -> bool {
     backoff_.Reset();
-    if (!std::exchange(connected_, true)) {
-      LogEvent(LogLevel::kInfo, "store_reached").With("revision", revision_);
+    const bool regained = !outage_.is_connected();
+    const bool may_have_lapsed = outage_.OnContact(Now());
+    if (regained) {
+      LogEvent(LogLevel::kInfo, "store_reached")
+          .With("revision", revision_)
+          .With("registrations_may_have_lapsed",
+                may_have_lapsed ? "yes" : "no");
     }
-    const auto silence = Now() - std::exchange(last_contact_, Now());
-    return std::exchange(lost_, false) && silence >= kShortestOutage;
+    return may_have_lapsed;
   }
 
+  /// Removes lapsed registrations when their grace period ends.
   auto ExpireLater() -> void {
-    expiry_.expires_after(TargetRegistry::kLapseGrace);
+    const auto next = registry_.NextExpiry();
+    if (!next) {
+      return;
+    }
+    expiry_.expires_at(*next);
     expiry_.async_wait([this](boost::system::error_code error) {
-      if (!error && registry_.Expire(Now())) {
-        std::erase_if(raw_targets_, [this](const auto& item) {
-          return registry_.Find(item.first) == nullptr;
-        });
+      if (error) {
+        return;
+      }
+      for (const auto& id : registry_.Expire(Now())) {
+        LogEvent(LogLevel::kInfo, "target_gone")
+            .With("target", id)
+            .With("reason", "grace_period_ended");
+        raw_targets_.erase(id);
         targets_changed_ = true;
-        Announce();
       }
+      Announce();
+      ExpireLater();
     });
   }
 
@@ -426,7 +444,7 @@
   std::set<std::string> seen_own_;
   std::set<std::string> own_keys_;
   TimePoint grace_until_{};
-  TimePoint last_contact_{};
+  OutageRecord outage_;
   std::int64_t revision_ = 0;
   std::int64_t list_revision_ = 0;
   std::int64_t important_revision_ = 0;
@@ -435,8 +453,6 @@
   bool manifest_changed_ = false;
   bool targets_changed_ = false;
   bool listed_ = false;
-  bool connected_ = false;
-  bool lost_ = false;
 };
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/target_registry.cc
+++ b/modules/baobab_gateway/target_registry.cc
@@ -1,5 +1,6 @@
 #include "baobab_gateway/target_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobab::gateway {
@@ -23,10 +24,27 @@
   }
 }
 
-auto TargetRegistry::Expire(TimePoint now) -> bool {
-  return std::erase_if(entries_, [now](const auto& item) {
-           return item.second.gone_at_ && *item.second.gone_at_ <= now;
-         }) > 0;
+auto TargetRegistry::Expire(TimePoint now) -> std::vector<std::string> {
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.gone_at_ && *entry.gone_at_ <= now) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    entries_.erase(id);
+  }
+  return gone;
+}
+
+auto TargetRegistry::NextExpiry() const -> std::optional<TimePoint> {
+  std::optional<TimePoint> next;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.gone_at_) {
+      next = std::min(next.value_or(*entry.gone_at_), *entry.gone_at_);
+    }
+  }
+  return next;
 }
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/target_registry.h
+++ b/modules/baobab_gateway/target_registry.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "baobab_base/time_types.h"
 #include "baobab_gateway/target_registration.h"
@@ -67,8 +68,11 @@
     Expire(now);
   }
 
-  /// Removes the entries whose grace period has ended. Returns true if any.
-  auto Expire(TimePoint now) -> bool;
+  /// Removes the entries whose grace period has ended, and returns their ids.
+  auto Expire(TimePoint now) -> std::vector<std::string>;
+
+  /// Returns when the next grace period ends, if any runs.
+  [[nodiscard]] auto NextExpiry() const -> std::optional<TimePoint>;
 
   /// Returns the entry of `id`, or nullptr.
   [[nodiscard]] auto Find(const std::string& id) const -> const Entry* {
--- a/modules/baobab_gateway/target_registry_test.cc
+++ b/modules/baobab_gateway/target_registry_test.cc
@@ -55,10 +55,30 @@
   registry.Put(Registration("t"), 5);
   const TimePoint until = TimePoint{} + std::chrono::seconds(2);
   registry.Lapse("t", 6, until);
-  CHECK_FALSE(registry.Expire(until - Duration(1)));
-  CHECK(registry.Expire(until));
+  CHECK(registry.NextExpiry() == until);
+  CHECK(registry.Expire(until - Duration(1)).empty());
+  CHECK(registry.Expire(until).size() == 1);
+  CHECK_FALSE(registry.NextExpiry().has_value());
   CHECK(registry.Find("t") == nullptr);
 }
 
+// Guards against a grace period that starts anew for all lapsed targets when
+// another one lapses: the instance waited for the last one.
+TEST_CASE("Each grace period ends by itself", "[gateway]") {
+  TargetRegistry registry;
+  const TimePoint start{std::chrono::seconds(100)};
+  for (const std::string id : {"a", "b"}) {
+    TargetRegistration registration;
+    registration.id_ = id;
+    registry.Put(registration, 1);
+  }
+  registry.Lapse("a", 2, start + std::chrono::seconds(1));
+  registry.Lapse("b", 3, start + std::chrono::seconds(2));
+  CHECK(registry.NextExpiry() == start + std::chrono::seconds(1));
+  CHECK(registry.Expire(start + std::chrono::seconds(1)) ==
+        std::vector<std::string>{"a"});
+  CHECK(registry.NextExpiry() == start + std::chrono::seconds(2));
+}
+
 }  // namespace
 }  // namespace baobab::gateway
