Count what waits at all instances as ahead; keep idle connections within what targets accept

Change: reports say what waits by model, and the predicted wait counts it, so that a hopeless request is refused at once; idle connections per target are bounded by half of what the target accepts over all instances.

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -376,7 +376,7 @@
 auto Dispatcher::PredictedWait(const WorkItem& item, TimePoint now) const
     -> std::optional<Duration> {
   // Work ahead of the request at all targets that hold its model, and in the
-  // queue of this instance, over the speed of these targets together.
+  // queues of all instances, over the speed of these targets together.
   Duration prefill{};
   std::size_t calls = 0;
   std::size_t slots = 0;
@@ -401,15 +401,14 @@
     if (waiting.generation_.model_ == item.generation_.model_ &&
         waiting.service_ == item.service_ &&
         waiting.objective_at_ <= item.objective_at_) {
-      // The shared half of a prompt is mostly kept at its target.
-      prefill += speed_.TimeFor(waiting.generation_.model_,
-                                waiting.generation_.prompt_tokens_ / 2);
+      prefill += QueuedTime(waiting.generation_);
       ++calls;
     }
   }
   if (item.generation_.model_.empty()) {
     return kPlainCall * calls / std::max<std::size_t>(1, slots);
   }
+  prefill += peers_.Queued(item.generation_.model_);
   return Scaled(prefill / holders, 1 / settings_.busy_share_);
 }
 
@@ -637,8 +636,24 @@
 }
 
 auto Dispatcher::OnPeerWork(const std::string& peer, WorkByTarget work,
-                            TimePoint now) -> void {
-  peers_.Update(peer, std::move(work), now);
+                            QueuedByModel queued, TimePoint now) -> void {
+  peers_.Update(peer, std::move(work), std::move(queued), now);
+}
+
+auto Dispatcher::QueuedTime(const Generation& generation) const -> Duration {
+  // The shared half of a prompt is mostly kept at its target.
+  return speed_.TimeFor(generation.model_, generation.prompt_tokens_ / 2);
+}
+
+auto Dispatcher::OwnQueue() const -> QueuedByModel {
+  QueuedByModel queued;
+  for (const auto& [id, waiting] : queue_) {
+    const auto& generation = waiting.item_.generation_;
+    if (!generation.model_.empty()) {
+      queued[generation.model_] += QueuedTime(generation);
+    }
+  }
+  return queued;
 }
 
 auto Dispatcher::OnAdapterLoaded(const std::string& target,
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -77,6 +77,9 @@
   /// Idle connections that are kept per target. A target serves one request at
   /// a time on each, so this is about the usual concurrency per target.
   static constexpr std::size_t kIdlePerTarget = 16;
+  /// Connections of a target per idle one: the others are for requests in
+  /// progress. 83 instances with 16 each had gone over the 560 of a target.
+  static constexpr std::size_t kConnectionsPerIdle = 2;
   /// Longest idle time, if the target does not state a shorter one.
   static constexpr Duration kIdleTime = std::chrono::seconds(4);
   /// Interval of dispatch decisions while requests wait.
@@ -115,6 +118,25 @@
   /// Sets the number of instances that share the retry bound.
   auto SetInstances(std::size_t instances) -> void {
     retries_.SetInstances(instances);
+    if (manifest_) {
+      pool_->set_idle_per_target(
+          IdlePerTarget(manifest_->services_, instances));
+    }
+  }
+
+  /// Returns how many idle connections an instance keeps per target, so that
+  /// all instances together stay well below what a target accepts.
+  [[nodiscard]] static auto IdlePerTarget(const std::vector<Service>& services,
+                                          std::size_t instances)
+      -> std::size_t {
+    auto most = kIdlePerTarget;
+    for (const auto& service : services) {
+      if (service.max_connections_ > 0 && instances > 0) {
+        most = std::min(
+            most, service.max_connections_ / (kConnectionsPerIdle * instances));
+      }
+    }
+    return std::max<std::size_t>(1, most);
   }
 
   /// Tells whether this instance reaches the store.
--- a/modules/baobab_targets/connection_pool.h
+++ b/modules/baobab_targets/connection_pool.h
@@ -22,6 +22,11 @@
                  Duration idle_time)
       : io_(io), idle_per_target_(idle_per_target), idle_time_(idle_time) {}
 
+  /// Changes how many connections are kept per target from now on.
+  auto set_idle_per_target(std::size_t count) -> void {
+    idle_per_target_ = count;
+  }
+
   /// Takes an idle connection to `endpoint` that the target has not closed, if
   /// there is one.
   [[nodiscard]] auto Take(const TargetEndpoint& endpoint)
