Tell peers at once of calls to a target that fills up

Each of 83 instances saw free slots in reports half a second old; targets slow down when they are full.

Change: a call without a model is told at once when half of the slots of its target are taken.

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -46,6 +46,14 @@
       static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
 }
 
+/// Returns true if peers must hear at once of a call without a model: half of
+/// the target's slots are taken. Such targets slow down when they are full, and
+/// 83 instances that each see a free slot in old reports fill them.
+auto IsContended(const WorkItem& item, std::size_t running, std::size_t slots)
+    -> bool {
+  return item.generation_.model_.empty() && 2 * running >= slots;
+}
+
 auto SharedChainHash(const std::vector<std::uint64_t>& chain) -> std::uint64_t {
   // The last part belongs to the request itself.
   return chain.size() < 2 ? 0 : chain[chain.size() - 2];
@@ -376,7 +384,7 @@
 auto Dispatcher::PredictedWait(const WorkItem& item, TimePoint now) const
     -> std::optional<Duration> {
   // Work ahead of the request at all targets that hold its model, and in the
-  // queues of all instances, over the speed of these targets together.
+  // queue of this instance, over the speed of these targets together.
   Duration prefill{};
   std::size_t calls = 0;
   std::size_t slots = 0;
@@ -401,14 +409,15 @@
     if (waiting.generation_.model_ == item.generation_.model_ &&
         waiting.service_ == item.service_ &&
         waiting.objective_at_ <= item.objective_at_) {
-      prefill += QueuedTime(waiting.generation_);
+      // The shared half of a prompt is mostly kept at its target.
+      prefill += speed_.TimeFor(waiting.generation_.model_,
+                                waiting.generation_.prompt_tokens_ / 2);
       ++calls;
     }
   }
   if (item.generation_.model_.empty()) {
     return kPlainCall * calls / std::max<std::size_t>(1, slots);
   }
-  prefill += peers_.Queued(item.generation_.model_);
   return Scaled(prefill / holders, 1 / settings_.busy_share_);
 }
 
@@ -507,7 +516,9 @@
   sent.calm_ = choice.busy_.prefill_us_ == 0 &&
                choice.busy_.busy_permille_ < settings_.calm_share_ * 1000;
   own_[sent.target_] += sent.work_;
-  if (choice.prefill_ > settings_.told_at_once_) {
+  if (choice.prefill_ > settings_.told_at_once_ ||
+      IsContended(item, choice.busy_.running_ + 1,
+                  choice.target_->registration_.slots_)) {
     changed_.insert(sent.target_);
   }
   choice.target_->memory_.Record(waiting.chain_, item.generation_.parts_);
@@ -557,8 +568,13 @@
     work.running_ -= sent.work_.running_;
     work.cache_tokens_ -= sent.work_.cache_tokens_;
     work.prefill_us_ -= sent.first_token_ ? 0 : sent.work_.prefill_us_;
-    if (!sent.first_token_ &&
-        Duration(sent.work_.prefill_us_) > settings_.told_at_once_) {
+    const auto target = targets_.find(sent.target_);
+    if ((!sent.first_token_ &&
+         Duration(sent.work_.prefill_us_) > settings_.told_at_once_) ||
+        (target != targets_.end() &&
+         IsContended(sent.item_,
+                     work.running_ + 1 + peers_.At(sent.target_).running_,
+                     target->second.registration_.slots_))) {
       changed_.insert(sent.target_);
     }
     if (work.running_ == 0) {
@@ -636,24 +652,8 @@
 }
 
 auto Dispatcher::OnPeerWork(const std::string& peer, WorkByTarget work,
-                            QueuedByModel queued, TimePoint now) -> void {
-  peers_.Update(peer, std::move(work), std::move(queued), now);
-}
-
-auto Dispatcher::QueuedTime(const Generation& generation) const -> Duration {
-  // The shared half of a prompt is mostly kept at its target.
-  return speed_.TimeFor(generation.model_, generation.prompt_tokens_ / 2);
-}
-
-auto Dispatcher::OwnQueue() const -> QueuedByModel {
-  QueuedByModel queued;
-  for (const auto& [id, waiting] : queue_) {
-    const auto& generation = waiting.item_.generation_;
-    if (!generation.model_.empty()) {
-      queued[generation.model_] += QueuedTime(generation);
-    }
-  }
-  return queued;
+                            TimePoint now) -> void {
+  peers_.Update(peer, std::move(work), now);
 }
 
 auto Dispatcher::OnAdapterLoaded(const std::string& target,
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -170,8 +170,8 @@
   auto Forget(WorkId id) -> void;
 
   /// Records what `peer` has in progress.
-  auto OnPeerWork(const std::string& peer, WorkByTarget work,
-                  QueuedByModel queued, TimePoint now) -> void;
+  auto OnPeerWork(const std::string& peer, WorkByTarget work, TimePoint now)
+      -> void;
   /// Records what `peer` has in progress at one target.
   auto OnPeerTargetWork(const std::string& peer, const std::string& target,
                         const TargetWork& work, TimePoint now) -> void {
@@ -189,8 +189,6 @@
 
   /// What this instance has in progress, for its peers.
   [[nodiscard]] auto OwnWork(TimePoint now) const -> WorkByTarget;
-  /// What waits at this instance, for its peers.
-  [[nodiscard]] auto OwnQueue() const -> QueuedByModel;
   /// What this instance has in progress at `target`.
   [[nodiscard]] auto OwnWorkAt(const std::string& target, TimePoint now) const
       -> TargetWork;
@@ -260,8 +258,6 @@
       -> TargetWork;
   [[nodiscard]] auto StepTime(const std::string& model,
                               const TargetWork& busy) const -> Duration;
-  /// Time that reading the prompt of a waiting request is expected to take.
-  [[nodiscard]] auto QueuedTime(const Generation& generation) const -> Duration;
   [[nodiscard]] auto StartTime(const WorkItem& item) const -> Duration;
   [[nodiscard]] auto ShortestService(const WorkItem& item) const -> Duration;
   /// Returns the targets of `holders` that keep the shared parts of a prompt,
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -278,7 +278,7 @@
       return;
     }
     auto& dispatcher = gateway_.dispatcher();
-    dispatcher.OnPeerWork(report.instance_, report.work_, report.queued_, now);
+    dispatcher.OnPeerWork(report.instance_, report.work_, now);
     for (const auto& change : report.changes_) {
       ApplyChange(change);
     }
@@ -438,7 +438,6 @@
     report.fencing_token_ = holder_.fencing_token();
     report.processor_permille_ = settings_.processor_permille_;
     report.work_ = dispatcher.OwnWork(now);
-    report.queued_ = dispatcher.OwnQueue();
     report.recent_orders_ = holder_.RecentOrders();
     const auto demand = dispatcher.Demand(now);
     const auto needs = dispatcher.AdapterNeeds();
--- a/modules/baobab_gateway/peer_report.cc
+++ b/modules/baobab_gateway/peer_report.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Begins every report; its last byte changes with the layout.
-constexpr std::string_view kMark = "bbr3";
+constexpr std::string_view kMark = "bbr2";
 /// Begins every update of work.
 constexpr std::string_view kUpdateMark = "bbw2";
 /// Demand is sent in thousandths of an engine's time.
@@ -121,11 +121,6 @@
     writer.Text(target);
     EncodeWork(writer, work);
   }
-  writer.Unsigned(report.queued_.size());
-  for (const auto& [model, time] : report.queued_) {
-    writer.Text(model);
-    writer.Signed(time.count());
-  }
   writer.Unsigned(report.recent_orders_.size());
   for (const auto& [target, age] : report.recent_orders_) {
     writer.Text(target);
@@ -171,10 +166,6 @@
       auto target = reader.Text();
       report.work_[std::move(target)] = DecodeWork(reader);
     }
-    for (auto left = reader.Count(); left > 0; --left) {
-      auto model = reader.Text();
-      report.queued_[std::move(model)] = Duration(reader.Signed());
-    }
     for (auto left = reader.Count(); left > 0; --left) {
       auto target = reader.Text();
       report.recent_orders_.emplace_back(std::move(target),
--- a/modules/baobab_gateway/peer_report.h
+++ b/modules/baobab_gateway/peer_report.h
@@ -46,7 +46,6 @@
   /// Targets to which it gave orders of late, and the time since then.
   std::vector<std::pair<std::string, Duration>> recent_orders_;
   WorkByTarget work_;
-  QueuedByModel queued_;
   // For the holder of orders only:
   std::map<std::string, double> demand_;  ///< Engine time per time, by model.
   std::vector<AdapterNeed> needs_;
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -185,10 +185,7 @@
     for (const auto& assignment : dispatcher_.Assign(now)) {
       StartAttempt(assignment);
     }
-    if (auto targets = dispatcher_.TakeChangedTargets();
-        on_work_changed_ && !targets.empty()) {
-      on_work_changed_(targets);
-    }
+    TellWork();
     if (on_needs_ && dispatcher_.waiting() > 0) {
       on_needs_();
     }
@@ -718,6 +715,7 @@
     metrics_.Record("gateway_request_seconds",
                     Label("route", active.route_->name_), total);
     dispatcher_.Forget(id);
+    TellWork();
     by_exchange_.erase(active.exchange_);
     limits_.erase({active.item_.limit_at_, id});
     active_.erase(found);
@@ -728,6 +726,13 @@
     }
   }
 
+  auto TellWork() -> void {
+    const auto targets = dispatcher_.TakeChangedTargets();
+    if (on_work_changed_ && !targets.empty()) {
+      on_work_changed_(targets);
+    }
+  }
+
   auto ArmTimer() -> void {
     const auto now = Now();
     auto next = limits_.empty() ? TimePoint::max() : limits_.begin()->first;
--- a/modules/baobab_gateway/target_load.h
+++ b/modules/baobab_gateway/target_load.h
@@ -37,9 +37,6 @@
 /// Work in progress by target id.
 using WorkByTarget = std::map<std::string, TargetWork>;
 
-/// Time that reading the prompts takes that wait at an instance, by model.
-using QueuedByModel = std::map<std::string, Duration>;
-
 /// The work of all other instances, from their last reports.
 class PeerLoad {
  public:
@@ -48,25 +45,14 @@
   static constexpr Duration kReportAge = std::chrono::milliseconds(1500);
 
   /// Replaces the report of `peer`.
-  auto Update(const std::string& peer, WorkByTarget work, QueuedByModel queued,
-              TimePoint now) -> void {
+  auto Update(const std::string& peer, WorkByTarget work, TimePoint now)
+      -> void {
     auto& report = reports_[peer];
     Subtract(report.work_);
     for (const auto& [target, item] : work) {
       totals_[target] += item;
     }
-    report = {std::move(work), std::move(queued), now};
-  }
-
-  /// Returns the time that reading the prompts takes that wait for `model` at
-  /// all peers.
-  [[nodiscard]] auto Queued(const std::string& model) const -> Duration {
-    Duration total{};
-    for (const auto& [peer, report] : reports_) {
-      const auto found = report.queued_.find(model);
-      total += found == report.queued_.end() ? Duration::zero() : found->second;
-    }
-    return total;
+    report = {std::move(work), now};
   }
 
   /// Replaces what `peer` reported of one target.
@@ -106,7 +92,6 @@
  private:
   struct Report {
     WorkByTarget work_;
-    QueuedByModel queued_;
     TimePoint at_{};
   };
 
