--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -274,10 +274,10 @@
   return holders;
 }
 
-auto Dispatcher::QuietOf(const WorkItem& item,
-                         const std::vector<Target*>& holders) const
+auto Dispatcher::ReservedOf(const WorkItem& item,
+                            const std::vector<Target*>& holders) const
     -> std::set<const Target*> {
-  if (settings_.quiet_share_ <= 0 || holders.size() < 2 ||
+  if (settings_.reserved_share_ <= 0 || holders.size() < 2 ||
       item.generation_.model_.empty()) {
     return {};
   }
@@ -290,14 +290,14 @@
   }
   std::sort(ranked.begin(), ranked.end());
   const auto count = std::clamp<std::size_t>(
-      static_cast<std::size_t>(std::lround(settings_.quiet_share_ *
+      static_cast<std::size_t>(std::lround(settings_.reserved_share_ *
                                            static_cast<double>(ranked.size()))),
       1, ranked.size() - 1);
-  std::set<const Target*> quiet;
+  std::set<const Target*> reserved;
   for (std::size_t i = 0; i < count; ++i) {
-    quiet.insert(ranked[i].second);
+    reserved.insert(ranked[i].second);
   }
-  return quiet;
+  return reserved;
 }
 
 auto Dispatcher::Choose(const Waiting& waiting, TimePoint now) -> Choice {
@@ -305,35 +305,28 @@
   const auto& item = waiting.item_;
   const auto& generation = item.generation_;
   auto holders = HoldersOf(item);
-  const auto quiet = QuietOf(item, holders);
+  const auto reserved = ReservedOf(item, holders);
   const bool is_long =
       speed_.TimeFor(generation.model_, generation.prompt_tokens_) >
       settings_.long_prompt_;
   // The homes of a long prompt are not among the targets for short ones.
   auto suited = holders;
-  if (!quiet.empty()) {
-    std::erase_if(suited, [&quiet, is_long](const Target* target) {
-      return (quiet.count(target) > 0) == is_long;
+  if (!reserved.empty()) {
+    std::erase_if(suited, [&reserved, is_long](const Target* target) {
+      return (reserved.count(target) > 0) == is_long;
     });
   }
   const auto homes = HomesOf(waiting, suited);
-  if (settings_.candidates_ > 0) {
-    std::shuffle(holders.begin(), holders.end(), random_);
-  }
-  std::size_t compared = 0;
   for (auto* target : holders) {
-    const bool enough =
-        settings_.candidates_ > 0 && compared >= settings_.candidates_;
     const bool is_home =
         std::find(homes.begin(), homes.end(), target) != homes.end();
-    if ((enough && !is_home) || !target->health_.IsUsable(now)) {
+    if (!target->health_.IsUsable(now)) {
       continue;
     }
     const auto busy = WorkAt(target->registration_.id_, now);
     if (!HasRoom(*target, busy, item, now)) {
       continue;
     }
-    compared += is_home ? 0 : 1;
     const auto kept = KeptTokens(*target, waiting, is_home);
     const auto prefill = speed_.TimeFor(
         generation.model_,
@@ -350,11 +343,11 @@
       estimate = first_token + Scaled(rest, settings_.completion_weight_) +
                  Scaled(prefill * busy.running_, settings_.hold_up_weight_);
     }
-    if (!quiet.empty()) {
-      if (is_long && quiet.count(target) > 0) {
-        estimate += settings_.long_at_quiet_;
-      } else if (!is_long && quiet.count(target) == 0) {
-        estimate += settings_.short_at_loud_;
+    if (!reserved.empty()) {
+      if (is_long && reserved.count(target) > 0) {
+        estimate += settings_.long_at_reserved_;
+      } else if (!is_long && reserved.count(target) == 0) {
+        estimate += settings_.short_elsewhere_;
       }
     }
     if (target->registration_.zone_ != zone_) {
@@ -516,7 +509,7 @@
   sent.calm_ = choice.busy_.prefill_us_ == 0 &&
                choice.busy_.busy_permille_ < settings_.calm_share_ * 1000;
   own_[sent.target_] += sent.work_;
-  if (choice.prefill_ > settings_.told_at_once_ ||
+  if (choice.prefill_ > settings_.update_threshold_ ||
       IsContended(item, choice.busy_.running_ + 1,
                   choice.target_->registration_.slots_)) {
     changed_.insert(sent.target_);
@@ -570,7 +563,7 @@
     work.prefill_us_ -= sent.first_token_ ? 0 : sent.work_.prefill_us_;
     const auto target = targets_.find(sent.target_);
     if ((!sent.first_token_ &&
-         Duration(sent.work_.prefill_us_) > settings_.told_at_once_) ||
+         Duration(sent.work_.prefill_us_) > settings_.update_threshold_) ||
         (target != targets_.end() &&
          IsContended(sent.item_,
                      work.running_ + 1 + peers_.At(sent.target_).running_,
@@ -592,7 +585,7 @@
   auto& sent = found->second;
   sent.first_token_ = true;
   own_[sent.target_].prefill_us_ -= sent.work_.prefill_us_;
-  if (Duration(sent.work_.prefill_us_) > settings_.told_at_once_) {
+  if (Duration(sent.work_.prefill_us_) > settings_.update_threshold_) {
     changed_.insert(sent.target_);
   }
   if (sent.calm_) {
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -53,10 +53,6 @@
   /// the others late in turn at the crest; the rest of the late ones goes when
   /// nothing else waits.
   unsigned late_every_ = 12;
-  /// Targets drawn at random that are compared, besides the home of a prompt;
-  /// 0: all. Instances that see the same old reports would all choose the
-  /// target that looks idle (power of two choices, Mitzenmacher 2001).
-  std::size_t candidates_ = 0;
   /// Targets at which the shared parts of a prompt are taken as kept: the first
   /// ones by a hash that all instances compute alike. A single one fills up at
   /// the crest, and what goes elsewhere is read anew each time.
@@ -64,7 +60,7 @@
   /// Part of the targets that hold a model which is kept for short prompts. A
   /// long prompt that is read holds up every stream at its target; responses
   /// to short prompts last longest and suffer most. 0: no such part.
-  double quiet_share_ = 0.35;
+  double reserved_share_ = 0.35;
   /// Share of a target's time for reading prompts below which the time to the
   /// first token tells the speed of its model. At a busy target it tells of
   /// work that is not known here: the speed came out up to nine times too low,
@@ -72,13 +68,13 @@
   double calm_share_ = 0.5;
   /// Peers hear at once of a prompt that takes longer than this to read; those
   /// of shorter ones wait for the next report.
-  Duration told_at_once_ = std::chrono::milliseconds(20);
+  Duration update_threshold_ = std::chrono::milliseconds(20);
   /// A prompt that takes longer than this to read in full is long.
   Duration long_prompt_ = std::chrono::milliseconds(80);
   /// Cost of a long prompt at a target kept for short ones, and of a short one
   /// elsewhere, as delay.
-  Duration long_at_quiet_ = std::chrono::milliseconds(400);
-  Duration short_at_loud_ = std::chrono::milliseconds(150);
+  Duration long_at_reserved_ = std::chrono::milliseconds(400);
+  Duration short_elsewhere_ = std::chrono::milliseconds(150);
   /// Age in the queue that one step of priority is worth.
   Duration per_priority_ = std::chrono::milliseconds(300);
 };
@@ -247,8 +243,8 @@
   /// Returns the targets of the item's service that hold what it needs.
   [[nodiscard]] auto HoldersOf(const WorkItem& item) -> std::vector<Target*>;
   /// Returns those of `holders` that are kept for short prompts.
-  [[nodiscard]] auto QuietOf(const WorkItem& item,
-                             const std::vector<Target*>& holders) const
+  [[nodiscard]] auto ReservedOf(const WorkItem& item,
+                                const std::vector<Target*>& holders) const
       -> std::set<const Target*>;
   [[nodiscard]] auto Holds(const Target& target, const WorkItem& item) const
       -> bool;
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -119,8 +119,9 @@
     Serve(settings_.control_,
           [this](const HttpRequest& request) { return OnControl(request); });
     gateway_.OnNeeds([this] { OnNeeds(); });
-    gateway_.OnWorkChanged(
-        [this](const std::set<std::string>& targets) { TellWork(targets); });
+    gateway_.OnWorkChanged([this](const std::set<std::string>& targets) {
+      SendWorkUpdates(targets);
+    });
     sync_.Start();
     Register();
     Report();
@@ -239,8 +240,8 @@
   auto OnTargets(const TargetRegistry& registry) -> void {
     gateway_.SetTargets(registry);
     holder_.SetRegistry(registry);
-    if (sync_.is_reader() && sync_.important_revision() > told_revision_) {
-      told_revision_ = sync_.important_revision();
+    if (sync_.is_reader() && sync_.important_revision() > announced_revision_) {
+      announced_revision_ = sync_.important_revision();
       urgent_to_all_ = true;
       ReportSoon();
     }
@@ -298,7 +299,7 @@
     }
     if (!report.needs_.empty() && holder_.fencing_token() != 0) {
       for (const auto& need : report.needs_) {
-        askers_[{need.model_, need.adapter_}][report.address_] = now;
+        requesters_[{need.model_, need.adapter_}][report.address_] = now;
       }
       holder_.Pump();
     }
@@ -317,7 +318,7 @@
   }
 
   /// Tells all peers what this instance has in progress at `targets`.
-  auto TellWork(const std::set<std::string>& targets) -> void {
+  auto SendWorkUpdates(const std::set<std::string>& targets) -> void {
     const auto now = Now();
     for (const auto& target : targets) {
       const auto bytes = EncodeWorkUpdate(
@@ -358,14 +359,14 @@
   /// all of them at once took more than the 10 Mbit/s of a small instance.
   auto OnOrdered(const EngineOrder& order) -> void {
     const auto now = Now();
-    const auto asked = askers_.find({order.model_, order.adapter_});
-    if (asked != askers_.end()) {
+    const auto asked = requesters_.find({order.model_, order.adapter_});
+    if (asked != requesters_.end()) {
       for (const auto& [address, at] : asked->second) {
-        if (now - at <= kAskedLately) {
+        if (now - at <= kNeedReported) {
           urgent_to_.insert(address);
         }
       }
-      askers_.erase(asked);
+      requesters_.erase(asked);
     }
     if (!urgent_to_.empty()) {
       ReportSoon();
@@ -645,7 +646,7 @@
   /// Longest usual time of a report on its way, with the sender's delays.
   static constexpr Duration kReportTravel = std::chrono::milliseconds(150);
   /// A request that waits for an adapter is reported again within this time.
-  static constexpr Duration kAskedLately = std::chrono::seconds(2);
+  static constexpr Duration kNeedReported = std::chrono::seconds(2);
   /// Age up to which changes are repeated in reports.
   static constexpr Duration kChangeTime = std::chrono::seconds(2);
 
@@ -676,7 +677,7 @@
   bool refusing_ = false;
   bool urgent_pending_ = false;
   bool urgent_to_all_ = false;
-  std::int64_t told_revision_ =
+  std::int64_t announced_revision_ =
       0;                     // important revision of the last such report
   TimePoint reported_at_{};  // to all instances
   std::set<std::string> urgent_to_;  // addresses of instances
@@ -684,7 +685,7 @@
   /// when they last said so. Kept by the holder of orders.
   std::map<std::pair<std::string, std::string>,
            std::map<std::string, TimePoint>>
-      askers_;
+      requesters_;
 };
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/fleet_replay_test.cc
+++ b/modules/baobab_gateway/fleet_replay_test.cc
@@ -316,7 +316,7 @@
   DispatchSettings settings;
   settings.prefill_backlog_ = milliseconds(150);
   settings.busy_share_ = 1.3;
-  settings.quiet_share_ = 0;
+  settings.reserved_share_ = 0;
   return settings;
 }
 
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -222,14 +222,8 @@
   const auto& demand = found->second;
   // A model that is silent now keeps a part of its weight.
   auto weight = std::max(demand.now_, demand.remembered_ / 3);
-  if (demand.fast_ > demand.now_ && demand.fast_ >= settings_.least_trend_) {
-    // Two averages of a steady rise differ by the rise over the difference of
-    // their time constants.
-    const auto ahead = std::chrono::duration<double>(settings_.look_ahead_) /
-                       std::chrono::duration<double>(settings_.smoothing_ -
-                                                     settings_.fast_smoothing_);
-    weight =
-        std::max(weight, demand.fast_ + (demand.fast_ - demand.now_) * ahead);
+  if (demand.fast_ >= settings_.least_trend_) {
+    weight = std::max(weight, demand.fast_);
   }
   return demand.now_ >= settings_.next_share_ * total_demand_
              ? std::max(weight, settings_.next_weight_ * top_demand_)
@@ -264,17 +258,6 @@
       }));
 }
 
-auto OrderPlanner::LoadOf(const Server& server) const -> double {
-  double load = 0;
-  for (const auto& [model, adapters] : server.models_) {
-    const auto copies = copies_.find(model);
-    load +=
-        Weight(model) / static_cast<double>(std::max<std::int64_t>(
-                            1, copies == copies_.end() ? 1 : copies->second));
-  }
-  return load;
-}
-
 auto OrderPlanner::PlaceCopy(const std::string& service,
                              const EngineSpec& engine, const std::string& model,
                              TimePoint now) -> bool {
@@ -301,8 +284,7 @@
     }
     // The cost of a place is the demand that its present copy serves; a load
     // from the weight store costs more than one from the target's own copy.
-    double cost = (cached ? 0 : settings_.busy_copy_ / 20) +
-                  settings_.server_load_weight_ * LoadOf(server);
+    double cost = cached ? 0 : settings_.busy_copy_ / 20;
     std::string victim;
     const auto used_mb = UsedMb(server, engine);
     if (used_mb + spec->memory_mb_ > engine.weights_mb_) {
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -40,23 +40,15 @@
   /// Time constant over which demand is averaged: a single long prompt for a
   /// rare model must not look like a shift of demand.
   Duration smoothing_ = std::chrono::milliseconds(2000);
-  /// Time constant of the faster average; its lead over the slower one is the
-  /// trend.
+  /// Time constant of the faster average, which shows a shift of demand first.
   Duration fast_smoothing_ = std::chrono::milliseconds(700);
-  /// Demand that rises is taken as what it will be this much later. A load
-  /// takes 4 s; looking as far ahead takes copies from models that are in use.
-  Duration look_ahead_ = std::chrono::milliseconds(0);
-  /// Demand below which a rise is not extended: the trend of a few requests is
-  /// chance.
+  /// Demand from which on the faster average counts where it is higher: the
+  /// rise of a few requests is chance.
   double least_trend_ = 0.3;
   /// Need of the first copy of a model that is asked for, besides its demand,
   /// against the demand per copy of busy models: after the loss of many targets
   /// the copies of models that most requests ask for come first.
   double first_copy_need_ = 0.4;
-  /// Weight of what a target serves already in the cost of a place there. A
-  /// copy beside a busy one adds little, and long prompts of one model hold up
-  /// the streams of the other.
-  double server_load_weight_ = 0;
   /// A copy moves only if it serves at least this many times the demand that
   /// the copy which makes way does. Prevents moves back and forth.
   double move_gain_ = 1.5;
@@ -206,9 +198,6 @@
   /// Returns what is lost with a copy of `model`; infinite for the last copy of
   /// a model that is asked for.
   [[nodiscard]] auto CostOfCopy(const std::string& model) const -> double;
-  /// Returns the demand that `server` serves, if each model's demand is spread
-  /// evenly over its copies.
-  [[nodiscard]] auto LoadOf(const Server& server) const -> double;
   auto PlaceCopy(const std::string& service, const EngineSpec& engine,
                  const std::string& model, TimePoint now) -> bool;
   auto PlanAdapters(TimePoint now, std::vector<PlannerAction>& actions) -> void;
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -185,7 +185,7 @@
     for (const auto& assignment : dispatcher_.Assign(now)) {
       StartAttempt(assignment);
     }
-    TellWork();
+    SendWorkUpdates();
     if (on_needs_ && dispatcher_.waiting() > 0) {
       on_needs_();
     }
@@ -715,7 +715,7 @@
     metrics_.Record("gateway_request_seconds",
                     Label("route", active.route_->name_), total);
     dispatcher_.Forget(id);
-    TellWork();
+    SendWorkUpdates();
     by_exchange_.erase(active.exchange_);
     limits_.erase({active.item_.limit_at_, id});
     active_.erase(found);
@@ -726,7 +726,7 @@
     }
   }
 
-  auto TellWork() -> void {
+  auto SendWorkUpdates() -> void {
     const auto targets = dispatcher_.TakeChangedTargets();
     if (on_work_changed_ && !targets.empty()) {
       on_work_changed_(targets);
