--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -54,8 +54,8 @@
   /// nothing else waits.
   unsigned late_every_ = 12;
   /// Targets at which the shared parts of a prompt are taken as kept: the first
-  /// ones by a hash that all instances compute alike. A single one fills up at
-  /// the crest, and what goes elsewhere is read anew each time.
+  /// ones by a hash that all instances compute alike. With more than one the
+  /// parts are read at each of them.
   std::size_t homes_ = 1;
   /// Part of the targets that hold a model which is kept for short prompts. A
   /// long prompt that is read holds up every stream at its target; responses
