--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -461,9 +461,12 @@
     report.demand_ = demand;
     report.needs_ = needs;
     report.uses_ = uses;
-    const auto text_for_holder = EncodePeerReport(report);
+    std::string text_for_holder;  // encoded only if another one is the holder
     for (const auto& [name, instance] : directory_.instances()) {
       if (instance.fencing_token_ != 0) {
+        if (text_for_holder.empty()) {
+          text_for_holder = EncodePeerReport(report);
+        }
         peers_.Send(instance.address_, text_for_holder);
       } else if (!urgent || urgent_to_.count(instance.address_) > 0) {
         peers_.Send(instance.address_, text);
--- a/modules/baobab_gateway/fleet_replay_test.cc
+++ b/modules/baobab_gateway/fleet_replay_test.cc
@@ -105,7 +105,6 @@
 
   /// Gives each engine three models; the often used ones get more copies.
   auto PlaceModels() -> void {
-    std::vector<std::size_t> copies;
     for (std::size_t i = 0; i < kModels; ++i) {
       weights_.push_back(1 / std::pow(static_cast<double>(i) + 1, 0.7));
     }
--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -79,8 +79,7 @@
   const auto rank = std::pair(processor_permille, HashKey(own));
   std::size_t before = 0;
   for (const auto& [name, instance] : instances_) {
-    if (instance.heard_ && now - instance.heard_at_ <= kSilence &&
-        instance.ready_ && instance.store_connected_ &&
+    if (IsFit(instance, now) &&
         std::pair(instance.processor_permille_, HashKey(name)) > rank) {
       ++before;
     }
@@ -95,10 +94,7 @@
       [processor_permille, now](const auto& item) {
         const auto& instance = item.second;
         return instance.processor_permille_ > processor_permille &&
-               instance.heard_ && now - instance.heard_at_ <= kSilence &&
-               instance.ready_ && !instance.stopping_ &&
-               instance.store_connected_ &&
-               now - instance.fit_since_ >= kSettled;
+               IsFit(instance, now) && now - instance.fit_since_ >= kSettled;
       });
 }
 
@@ -106,8 +102,8 @@
     -> std::optional<TimePoint> {
   std::optional<TimePoint> oldest;
   for (const auto& [name, instance] : instances_) {
-    if (!instance.heard_ || instance.store_connected_ ||
-        instance.fencing_token_ != 0 || now - instance.heard_at_ > kSilence) {
+    if (!IsHeard(instance, now) || instance.store_connected_ ||
+        instance.fencing_token_ != 0) {
       return std::nullopt;
     }
     oldest = std::min(oldest.value_or(now), instance.heard_at_);
@@ -126,7 +122,7 @@
   std::size_t audible = 0;
   for (const auto& [name, instance] : instances_) {
     registered += instance.registered_ ? 1 : 0;
-    audible += instance.heard_ && now - instance.heard_at_ <= kSilence ? 1 : 0;
+    audible += IsHeard(instance, now) ? 1 : 0;
   }
   const bool cut_off = audible * 2 < registered;
   for (const auto& [name, instance] : instances_) {
@@ -134,9 +130,8 @@
         instance.callers_.empty()) {
       continue;
     }
-    const bool is_audible =
-        instance.heard_ && now - instance.heard_at_ <= kSilence;
-    if (is_audible ? instance.ready_ : cut_off && instance.registered_) {
+    if (IsHeard(instance, now) ? instance.ready_
+                               : cut_off && instance.registered_) {
       addresses.push_back(instance.callers_);
     }
   }
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -96,6 +96,18 @@
   }
 
  private:
+  /// Returns true if a report of `instance` is recent.
+  [[nodiscard]] static auto IsHeard(const Instance& instance, TimePoint now)
+      -> bool {
+    return instance.heard_ && now - instance.heard_at_ <= kSilence;
+  }
+  /// Returns true if `instance` serves and reaches the store.
+  [[nodiscard]] static auto IsFit(const Instance& instance, TimePoint now)
+      -> bool {
+    return IsHeard(instance, now) && instance.ready_ && !instance.stopping_ &&
+           instance.store_connected_;
+  }
+
   std::map<std::string, Instance> instances_;
 };
 
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cmath>
+#include <cstring>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,7 +32,7 @@
 template <class Store, class Calls>
 class OrderHolder {
  public:
-  /// Value of the last holder's item after it gave the right back.
+  /// Before the mark in the last holder's item after it gave the right back.
   static constexpr const char* kReleasedMark = "released";
   /// Interval of planning while this instance is the holder.
   static constexpr Duration kTick = std::chrono::milliseconds(50);
@@ -276,9 +277,8 @@
     }
     competing_ = true;
     std::uniform_int_distribution<Duration::rep> draw(0, kContention.count());
-    const bool known_other = !last_holder_.empty() &&
-                             !last_holder_.starts_with(kReleasedMark) &&
-                             !IsOwn(last_holder_);
+    const bool known_other =
+        !last_holder_.empty() && !IsReleased() && !IsOwn(last_holder_);
     const Duration contention{draw(random_)};
     compete_.expires_after(
         (known_other ? kPreferLast : Duration::zero()) +
@@ -307,9 +307,7 @@
       change.writes_.push_back({key_, mark_, lease_id_});
       change.writes_.push_back({last_key_, mark_, 0});
       origin_ = Origin();
-      former_ = last_holder_.starts_with(kReleasedMark)
-                    ? last_holder_.substr(std::string(kReleasedMark).size())
-                    : last_holder_;
+      former_ = LastMark();
       store_.Commit(change, [this](auto committed) {
         competing_ = false;
         if (const auto* revision = std::get_if<std::int64_t>(&committed)) {
@@ -326,11 +324,22 @@
     });
   }
 
+  /// Returns true if the last holder gave the right back.
+  [[nodiscard]] auto IsReleased() const -> bool {
+    return last_holder_.starts_with(kReleasedMark);
+  }
+
+  /// Returns the mark of the last holder.
+  [[nodiscard]] auto LastMark() const -> std::string {
+    return IsReleased() ? last_holder_.substr(std::strlen(kReleasedMark))
+                        : last_holder_;
+  }
+
   [[nodiscard]] auto Origin() const -> HolderLease::Origin {
     if (IsOwn(last_holder_)) {
       return HolderLease::Origin::kOwn;
     }
-    if (last_holder_.starts_with(kReleasedMark)) {
+    if (IsReleased()) {
       return HolderLease::Origin::kReleased;
     }
     return BootTime() - store_regained_ < kAfterOutage
