Mark candidates instead of building sets for each choice of a target

From the second reading: each choice built a set of the reserved targets, a copy of the candidates and a vector of homes, and searched them for each candidate.

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -222,29 +222,6 @@
          speed_.StepTime(generation.model_, 1) * OutputTokens(generation);
 }
 
-auto Dispatcher::HomesOf(const Waiting& waiting,
-                         const std::vector<Target*>& holders) const
-    -> std::vector<const Target*> {
-  const auto shared = SharedChainHash(waiting.chain_);
-  std::vector<const Target*> homes;
-  if (shared == 0 || waiting.item_.generation_.model_.empty()) {
-    return homes;
-  }
-  std::vector<std::pair<std::uint64_t, const Target*>> ranked;
-  ranked.reserve(holders.size());
-  for (const auto* target : holders) {
-    ranked.emplace_back(HashKey(target->registration_.id_, shared), target);
-  }
-  const auto count = std::min(settings_.homes_, ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end(), std::greater<>());
-  for (std::size_t i = 0; i < count; ++i) {
-    homes.push_back(ranked[i].second);
-  }
-  return homes;
-}
-
 auto Dispatcher::KeptTokens(const Target& target, const Waiting& waiting,
                             bool is_home) -> std::uint32_t {
   const auto& parts = waiting.item_.generation_.parts_;
@@ -262,64 +239,80 @@
   return kept;
 }
 
-auto Dispatcher::HoldersOf(const WorkItem& item) -> std::vector<Target*> {
-  std::vector<Target*> holders;
+auto Dispatcher::CandidatesFor(const WorkItem& item) -> std::vector<Candidate> {
+  std::vector<Candidate> candidates;
   for (auto& [id, target] : targets_) {
     if (target.registered_ && !target.registration_.leaving_ &&
         target.registration_.service_ == item.service_ &&
         item.excluded_.count(id) == 0 && Holds(target, item)) {
-      holders.push_back(&target);
+      candidates.push_back({&target});
     }
   }
-  return holders;
+  return candidates;
 }
 
-auto Dispatcher::ReservedOf(const WorkItem& item,
-                            const std::vector<Target*>& holders) const
-    -> std::set<const Target*> {
-  if (settings_.reserved_share_ <= 0 || holders.size() < 2 ||
-      item.generation_.model_.empty()) {
-    return {};
+auto Dispatcher::MarkReserved(std::vector<Candidate>& candidates) const
+    -> bool {
+  if (settings_.reserved_share_ <= 0 || candidates.size() < 2) {
+    return false;
   }
   // All instances agree without talking: the order is that of a hash of the
   // ids, the same for every model.
-  std::vector<std::pair<std::uint64_t, const Target*>> ranked;
-  ranked.reserve(holders.size());
-  for (const auto* target : holders) {
-    ranked.emplace_back(target->rank_, target);
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+  ranked.reserve(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    ranked.emplace_back(candidates[i].target_->rank_, i);
   }
   std::sort(ranked.begin(), ranked.end());
   const auto count = std::clamp<std::size_t>(
       static_cast<std::size_t>(std::lround(settings_.reserved_share_ *
                                            static_cast<double>(ranked.size()))),
       1, ranked.size() - 1);
-  std::set<const Target*> reserved;
   for (std::size_t i = 0; i < count; ++i) {
-    reserved.insert(ranked[i].second);
+    candidates[ranked[i].second].reserved_ = true;
+  }
+  return true;
+}
+
+auto Dispatcher::MarkHomes(const Waiting& waiting, std::optional<bool> reserved,
+                           std::vector<Candidate>& candidates) const -> void {
+  const auto shared = SharedChainHash(waiting.chain_);
+  if (shared == 0) {
+    return;
+  }
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+  ranked.reserve(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (!reserved || candidates[i].reserved_ == *reserved) {
+      ranked.emplace_back(
+          HashKey(candidates[i].target_->registration_.id_, shared), i);
+    }
+  }
+  const auto count = std::min(settings_.homes_, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), std::greater<>());
+  for (std::size_t i = 0; i < count; ++i) {
+    candidates[ranked[i].second].home_ = true;
   }
-  return reserved;
 }
 
 auto Dispatcher::Choose(const Waiting& waiting, TimePoint now) -> Choice {
   Choice choice;
   const auto& item = waiting.item_;
   const auto& generation = item.generation_;
-  auto holders = HoldersOf(item);
-  const auto reserved = ReservedOf(item, holders);
+  auto candidates = CandidatesFor(item);
   const bool is_long =
       speed_.TimeFor(generation.model_, generation.prompt_tokens_) >
       settings_.long_prompt_;
-  // The homes of a long prompt are not among the targets for short ones.
-  auto suited = holders;
-  if (!reserved.empty()) {
-    std::erase_if(suited, [&reserved, is_long](const Target* target) {
-      return (reserved.count(target) > 0) == is_long;
-    });
-  }
-  const auto homes = HomesOf(waiting, suited);
-  for (auto* target : holders) {
-    const bool is_home =
-        std::find(homes.begin(), homes.end(), target) != homes.end();
+  bool some_reserved = false;
+  if (!generation.model_.empty()) {
+    some_reserved = MarkReserved(candidates);
+    MarkHomes(waiting, some_reserved ? std::optional(!is_long) : std::nullopt,
+              candidates);
+  }
+  for (const auto& candidate : candidates) {
+    auto* target = candidate.target_;
     if (!target->health_.IsUsable(now)) {
       continue;
     }
@@ -327,7 +320,7 @@
     if (!HasRoom(*target, busy, item, now)) {
       continue;
     }
-    const auto kept = KeptTokens(*target, waiting, is_home);
+    const auto kept = KeptTokens(*target, waiting, candidate.home_);
     const auto prefill = speed_.TimeFor(
         generation.model_,
         generation.prompt_tokens_ - std::min(kept, generation.prompt_tokens_));
@@ -343,12 +336,9 @@
       estimate = first_token + Scaled(rest, settings_.completion_weight_) +
                  Scaled(prefill * busy.running_, settings_.hold_up_weight_);
     }
-    if (!reserved.empty()) {
-      if (is_long && reserved.count(target) > 0) {
-        estimate += settings_.long_at_reserved_;
-      } else if (!is_long && reserved.count(target) == 0) {
-        estimate += settings_.short_elsewhere_;
-      }
+    if (some_reserved && is_long == candidate.reserved_) {
+      estimate +=
+          is_long ? settings_.long_at_reserved_ : settings_.short_elsewhere_;
     }
     if (target->registration_.zone_ != zone_) {
       estimate += settings_.other_zone_;
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -240,12 +240,21 @@
   };
 
   [[nodiscard]] auto Choose(const Waiting& waiting, TimePoint now) -> Choice;
-  /// Returns the targets of the item's service that hold what it needs.
-  [[nodiscard]] auto HoldersOf(const WorkItem& item) -> std::vector<Target*>;
-  /// Returns those of `holders` that are kept for short prompts.
-  [[nodiscard]] auto ReservedOf(const WorkItem& item,
-                                const std::vector<Target*>& holders) const
-      -> std::set<const Target*>;
+  /// A target that holds what a request needs.
+  struct Candidate {
+    Target* target_ = nullptr;
+    bool reserved_ = false;  // for short prompts
+    bool home_ = false;      // keeps the shared parts of the prompt
+  };
+  [[nodiscard]] auto CandidatesFor(const WorkItem& item)
+      -> std::vector<Candidate>;
+  /// Marks the targets that are reserved for short prompts. Returns true if
+  /// there are any.
+  auto MarkReserved(std::vector<Candidate>& candidates) const -> bool;
+  /// Marks the homes of the prompt among the candidates that are reserved or
+  /// not, as `reserved` says; among all if it is empty.
+  auto MarkHomes(const Waiting& waiting, std::optional<bool> reserved,
+                 std::vector<Candidate>& candidates) const -> void;
   [[nodiscard]] auto Holds(const Target& target, const WorkItem& item) const
       -> bool;
   [[nodiscard]] auto HasRoom(const Target& target, const TargetWork& busy,
@@ -256,11 +265,6 @@
                               const TargetWork& busy) const -> Duration;
   [[nodiscard]] auto StartTime(const WorkItem& item) const -> Duration;
   [[nodiscard]] auto ShortestService(const WorkItem& item) const -> Duration;
-  /// Returns the targets of `holders` that keep the shared parts of a prompt,
-  /// the first choice first.
-  [[nodiscard]] auto HomesOf(const Waiting& waiting,
-                             const std::vector<Target*>& holders) const
-      -> std::vector<const Target*>;
   /// Returns how many tokens of the prompt `target` probably keeps.
   [[nodiscard]] static auto KeptTokens(const Target& target,
                                        const Waiting& waiting, bool is_home)
