Split the dispatcher and the planner by what they decide

Moves only: the choice of a target, the placement of models and that of adapters have files of their own; functions of a generation stand beside its type.

--- /dev/null
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -0,0 +1,296 @@
+#include "baobab_gateway/dispatcher.h"
+
+// Which target a waiting request goes to, and how long it is expected to wait.
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <random>
+#include <utility>
+
+#include "baobab_base/rendezvous_hash.h"
+
+namespace baobab::gateway {
+namespace {
+
+/// Time that a plain service call takes, as far as the queue is concerned.
+constexpr Duration kPlainCall = std::chrono::milliseconds(60);
+
+auto Scaled(Duration time, double factor) -> Duration {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
+auto SharedChainHash(const std::vector<std::uint64_t>& chain) -> std::uint64_t {
+  // The last part belongs to the request itself.
+  return chain.size() < 2 ? 0 : chain[chain.size() - 2];
+}
+
+}  // namespace
+
+auto Dispatcher::Holds(const Target& target, const WorkItem& item) const
+    -> bool {
+  const auto& generation = item.generation_;
+  if (generation.model_.empty()) {
+    return true;
+  }
+  const std::pair<std::string, std::string> model(generation.model_, "");
+  const std::pair<std::string, std::string> adapter(generation.model_,
+                                                    generation.adapter_);
+  if (target.lacking_.count(model) > 0 || target.lacking_.count(adapter) > 0) {
+    return false;
+  }
+  const auto& models = target.registration_.models_;
+  const auto found = std::find_if(models.begin(), models.end(),
+                                  [&generation](const ResidentModel& resident) {
+                                    return resident.name_ == generation.model_;
+                                  });
+  if (found == models.end() && target.loaded_.count(model) == 0) {
+    return false;
+  }
+  if (generation.adapter_.empty() || target.loaded_.count(adapter) > 0) {
+    return true;
+  }
+  return found != models.end() &&
+         std::find(found->adapters_.begin(), found->adapters_.end(),
+                   generation.adapter_) != found->adapters_.end();
+}
+
+auto Dispatcher::HasRoom(const Target& target, const TargetWork& busy,
+                         const WorkItem& item, TimePoint now) const -> bool {
+  if (now < target.full_until_) {
+    return false;
+  }
+  if (busy.running_ >= target.registration_.slots_) {
+    return false;
+  }
+  const auto* engine = Engine(item.service_);
+  if (engine == nullptr || busy.running_ == 0) {
+    return true;
+  }
+  const auto& generation = item.generation_;
+  const auto promised =
+      static_cast<double>(engine->cache_tokens_) * settings_.cache_share_;
+  return busy.cache_tokens_ + CacheTokens(generation) <= promised &&
+         Duration(busy.prefill_us_) <= settings_.prefill_backlog_ &&
+         busy.busy_permille_ <= settings_.busy_share_ * 1000;
+}
+
+auto Dispatcher::WorkAt(const std::string& target, TimePoint now) const
+    -> TargetWork {
+  auto work = peers_.At(target);
+  work += OwnWorkAt(target, now);
+  return work;
+}
+
+auto Dispatcher::StepTime(const std::string& model,
+                          const TargetWork& busy) const -> Duration {
+  constexpr double kLeastIdle = 0.05;
+  const auto idle = std::max(kLeastIdle, 1 - busy.busy_permille_ / 1000.0);
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(speed_.StepTime(model, busy.running_).count()) /
+      idle));
+}
+
+auto Dispatcher::StartTime(const WorkItem& item) const -> Duration {
+  const auto& generation = item.generation_;
+  if (generation.model_.empty()) {
+    return Duration::zero();
+  }
+  const auto own_tokens =
+      generation.parts_.empty() ? 0 : generation.parts_.back().tokens_;
+  return settings_.start_lead_ + speed_.TimeFor(generation.model_, own_tokens);
+}
+
+auto Dispatcher::ShortestService(const WorkItem& item) const -> Duration {
+  const auto& generation = item.generation_;
+  if (generation.model_.empty()) {
+    return Duration::zero();
+  }
+  return StartTime(item) - settings_.start_lead_ +
+         speed_.StepTime(generation.model_, 1) * OutputTokens(generation);
+}
+
+auto Dispatcher::KeptTokens(const Target& target, const Waiting& waiting,
+                            bool is_home) -> std::uint32_t {
+  const auto& parts = waiting.item_.generation_.parts_;
+  auto kept = target.memory_.KeptTokens(waiting.chain_, parts);
+  if (is_home) {
+    std::uint32_t shared = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+      shared += parts[i].tokens_;
+    }
+    kept = std::max(kept, shared);
+  } else if (parts.size() > 2) {
+    // The first part is the same for many subjects: every target keeps it.
+    kept = std::max(kept, parts.front().tokens_);
+  }
+  return kept;
+}
+
+auto Dispatcher::CandidatesFor(const WorkItem& item) -> std::vector<Candidate> {
+  std::vector<Candidate> candidates;
+  for (auto& [id, target] : targets_) {
+    if (target.registered_ && !target.registration_.leaving_ &&
+        target.registration_.service_ == item.service_ &&
+        item.excluded_.count(id) == 0 && Holds(target, item)) {
+      candidates.push_back({&target});
+    }
+  }
+  return candidates;
+}
+
+auto Dispatcher::MarkReserved(std::vector<Candidate>& candidates) const
+    -> bool {
+  if (settings_.reserved_share_ <= 0 || candidates.size() < 2) {
+    return false;
+  }
+  // All instances agree without talking: the order is that of a hash of the
+  // ids, the same for every model.
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+  ranked.reserve(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    ranked.emplace_back(candidates[i].target_->rank_, i);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const auto count = std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::lround(settings_.reserved_share_ *
+                                           static_cast<double>(ranked.size()))),
+      1, ranked.size() - 1);
+  for (std::size_t i = 0; i < count; ++i) {
+    candidates[ranked[i].second].reserved_ = true;
+  }
+  return true;
+}
+
+auto Dispatcher::MarkHomes(const Waiting& waiting, std::optional<bool> reserved,
+                           std::vector<Candidate>& candidates) const -> void {
+  const auto shared = SharedChainHash(waiting.chain_);
+  if (shared == 0) {
+    return;
+  }
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+  ranked.reserve(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (!reserved || candidates[i].reserved_ == *reserved) {
+      ranked.emplace_back(
+          HashKey(candidates[i].target_->registration_.id_, shared), i);
+    }
+  }
+  const auto count = std::min(settings_.homes_, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), std::greater<>());
+  for (std::size_t i = 0; i < count; ++i) {
+    candidates[ranked[i].second].home_ = true;
+  }
+}
+
+auto Dispatcher::Choose(const Waiting& waiting, TimePoint now) -> Choice {
+  Choice choice;
+  const auto& item = waiting.item_;
+  const auto& generation = item.generation_;
+  auto candidates = CandidatesFor(item);
+  const bool is_long =
+      speed_.TimeFor(generation.model_, generation.prompt_tokens_) >
+      settings_.long_prompt_;
+  bool some_reserved = false;
+  if (!generation.model_.empty()) {
+    some_reserved = MarkReserved(candidates);
+    MarkHomes(waiting, some_reserved ? std::optional(!is_long) : std::nullopt,
+              candidates);
+  }
+  for (const auto& candidate : candidates) {
+    auto* target = candidate.target_;
+    if (!target->health_.IsUsable(now)) {
+      continue;
+    }
+    const auto busy = WorkAt(target->registration_.id_, now);
+    if (!HasRoom(*target, busy, item, now)) {
+      continue;
+    }
+    const auto kept = KeptTokens(*target, waiting, candidate.home_);
+    const auto prefill = speed_.TimeFor(
+        generation.model_,
+        generation.prompt_tokens_ - std::min(kept, generation.prompt_tokens_));
+    const auto first_token = Duration(busy.prefill_us_) + prefill;
+    Duration estimate;
+    Duration step{};
+    if (generation.model_.empty()) {
+      estimate = kPlainCall * (busy.running_ + 1) /
+                 std::max<std::size_t>(1, target->registration_.slots_);
+    } else {
+      step = StepTime(generation.model_, busy);
+      const auto rest = step * OutputTokens(generation);
+      estimate = first_token + Scaled(rest, settings_.completion_weight_) +
+                 Scaled(prefill * busy.running_, settings_.hold_up_weight_);
+    }
+    if (some_reserved && is_long == candidate.reserved_) {
+      estimate +=
+          is_long ? settings_.long_at_reserved_ : settings_.short_elsewhere_;
+    }
+    if (target->registration_.zone_ != zone_) {
+      estimate += settings_.other_zone_;
+    }
+    estimate = Scaled(estimate, 1 + settings_.failure_weight_ *
+                                        target->health_.failure_share());
+    // Calls that need no model are spread at random, fewer to where more is in
+    // progress: the fewest of old reports would draw all instances at once.
+    if (generation.model_.empty() && !peers_.is_empty()) {
+      std::exponential_distribution<double> draw(1);
+      estimate = Scaled(estimate, draw(random_));
+    }
+    if (estimate < choice.estimate_) {
+      choice.target_ = target;
+      choice.estimate_ = estimate;
+      choice.prefill_ = prefill;
+      choice.first_token_ = first_token;
+      choice.step_ = step;
+      choice.busy_ = busy;
+      choice.ahead_tokens_ = speed_.TokensIn(generation.model_, first_token);
+    }
+  }
+  return choice;
+}
+
+auto Dispatcher::PredictedWait(const WorkItem& item, TimePoint now) const
+    -> std::optional<Duration> {
+  // Work ahead of the request at all targets that hold its model, and in the
+  // queue of this instance, over the speed of these targets together.
+  Duration prefill{};
+  std::size_t calls = 0;
+  std::size_t slots = 0;
+  int holders = 0;
+  for (const auto& [id, target] : targets_) {
+    if (!target.registered_ || target.registration_.leaving_ ||
+        target.registration_.service_ != item.service_ ||
+        !target.health_.IsUsable(now) || !Holds(target, item)) {
+      continue;
+    }
+    const auto busy = WorkAt(id, now);
+    ++holders;
+    slots += target.registration_.slots_;
+    prefill += Duration(busy.prefill_us_);
+    calls += busy.running_;
+  }
+  if (holders == 0) {
+    return std::nullopt;
+  }
+  for (const auto& [id, entry] : queue_) {
+    const auto& waiting = entry.item_;
+    if (waiting.generation_.model_ == item.generation_.model_ &&
+        waiting.service_ == item.service_ &&
+        waiting.objective_at_ <= item.objective_at_) {
+      // The shared half of a prompt is mostly kept at its target.
+      prefill += speed_.TimeFor(waiting.generation_.model_,
+                                waiting.generation_.prompt_tokens_ / 2);
+      ++calls;
+    }
+  }
+  if (item.generation_.model_.empty()) {
+    return kPlainCall * calls / std::max<std::size_t>(1, slots);
+  }
+  return Scaled(prefill / holders, 1 / settings_.busy_share_);
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/order_planner_adapters.cc
@@ -0,0 +1,111 @@
+#include "baobab_gateway/order_planner.h"
+
+// Which engine holds which adapters.
+
+#include <optional>
+#include <utility>
+
+namespace baobab::gateway {
+namespace {
+
+/// A report of need older than this no longer counts.
+constexpr Duration kNeedAge = std::chrono::milliseconds(600);
+/// An adapter that is wanted although it is loaded is verified this often.
+constexpr Duration kVerifyInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+auto OrderPlanner::PlanAdapters(TimePoint now,
+                                std::vector<PlannerAction>& actions) -> void {
+  for (auto entry = needs_.begin(); entry != needs_.end();) {
+    const auto& [need, at] = entry->second;
+    if (now - at > kNeedAge) {
+      entry = needs_.erase(entry);
+      continue;
+    }
+    const auto* engine = Engine(need.service_);
+    Server* best = nullptr;
+    std::string best_id;
+    bool best_free = false;
+    bool held = false;
+    std::size_t best_count = 0;
+    for (auto& [id, server] : servers_) {
+      if (engine == nullptr || server.registration_.service_ != need.service_ ||
+          server.registration_.leaving_ || !server.known_) {
+        continue;
+      }
+      const auto model = server.models_.find(need.model_);
+      if (model == server.models_.end()) {
+        continue;
+      }
+      if (model->second.count(need.adapter_) > 0) {
+        held = true;
+        Announce({id, need.model_, need.adapter_, false}, now);
+        if (now - server.next_report_ > kVerifyInterval && !server.calling_) {
+          server.calling_ = true;
+          server.next_report_ = now;
+          actions.push_back({PlannerAction::Kind::kReport, id, {}});
+        }
+        break;
+      }
+      // An engine that carries out an order for a model refuses others.
+      if (server.calling_ || now < server.next_adapter_ ||
+          (server.order_ &&
+           (server.order_->sent_ || server.order_->model_ == need.model_))) {
+        continue;
+      }
+      const auto count = AdapterCount(server);
+      const auto* spec = Spec(*engine, need.model_);
+      const bool free =
+          count < engine->adapter_places_ && spec != nullptr &&
+          UsedMb(server, *engine) + spec->adapter_mb_ <= engine->weights_mb_;
+      if (best == nullptr ||
+          std::pair(!free, count) < std::pair(!best_free, best_count)) {
+        best = &server;
+        best_id = id;
+        best_free = free;
+        best_count = count;
+      }
+    }
+    if (held) {
+      entry = needs_.erase(entry);
+      continue;
+    }
+    if (best == nullptr) {
+      ++entry;
+      continue;
+    }
+    if (best_free) {
+      best->calling_ = true;
+      actions.push_back({PlannerAction::Kind::kOrder, best_id,
+                         MakeOrder(best_id, *best, OrderKind::kLoad,
+                                   need.model_, need.adapter_)});
+      entry = needs_.erase(entry);
+      continue;
+    }
+    // The least recently used adapter makes way, if nobody uses it now.
+    std::optional<std::pair<std::string, std::string>> victim;
+    TimePoint oldest = now - settings_.adapter_idle_;
+    for (const auto& [model, adapters] : best->models_) {
+      for (const auto& adapter : adapters) {
+        const auto used = best->used_.find({model, adapter});
+        const auto last =
+            used == best->used_.end() ? TimePoint{} : used->second;
+        if (last < oldest) {
+          oldest = last;
+          victim = {model, adapter};
+        }
+      }
+    }
+    if (victim) {
+      best->calling_ = true;
+      Announce({best_id, victim->first, victim->second, true}, now);
+      actions.push_back({PlannerAction::Kind::kOrder, best_id,
+                         MakeOrder(best_id, *best, OrderKind::kUnload,
+                                   victim->first, victim->second)});
+    }
+    ++entry;
+  }
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/order_planner_models.cc
@@ -0,0 +1,269 @@
+#include "baobab_gateway/order_planner.h"
+
+// Which engine holds which models.
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <queue>
+#include <utility>
+
+namespace baobab::gateway {
+namespace {
+
+/// A report of demand older than this no longer counts.
+constexpr Duration kPeerAge = std::chrono::seconds(2);
+/// Gain of the first copy of a model that is asked for: it goes first.
+constexpr double kMissingNeed = 1e12;
+
+}  // namespace
+
+auto OrderPlanner::GainOfCopy(const std::string& model) const -> double {
+  const auto found = copies_.find(model);
+  const auto copies = found == copies_.end() ? 0 : found->second;
+  const auto weight = Weight(model);
+  if (copies > 0) {
+    return weight / static_cast<double>(copies + 1);
+  }
+  return all_fit_ || weight > settings_.negligible_ ? kMissingNeed
+                                                    : settings_.unused_copy_;
+}
+
+auto OrderPlanner::CostOfCopy(const std::string& model) const -> double {
+  const auto found = copies_.find(model);
+  const auto copies = found == copies_.end() ? 0 : found->second;
+  const auto weight = Weight(model);
+  if (copies > 1) {
+    return weight / static_cast<double>(copies - 1);
+  }
+  return all_fit_ || weight > settings_.negligible_
+             ? std::numeric_limits<double>::max()
+             : settings_.unused_copy_;
+}
+
+auto OrderPlanner::UpdateDemand(TimePoint now) -> void {
+  const auto elapsed = std::chrono::duration<double>(now - demand_at_);
+  demand_at_ = now;
+  const auto keep =
+      std::exp(-elapsed / std::chrono::duration<double>(settings_.memory_));
+  std::erase_if(demand_by_instance_, [now](const auto& item) {
+    return now - item.second.second > kPeerAge;
+  });
+  const auto weight =
+      1 -
+      std::exp(-elapsed / std::chrono::duration<double>(settings_.smoothing_));
+  std::map<std::string, double> current;
+  for (const auto& [instance, report] : demand_by_instance_) {
+    for (const auto& [model, share] : report.first) {
+      current[model] += share;
+      demand_.try_emplace(model);
+    }
+  }
+  const auto fast_weight =
+      1 - std::exp(-elapsed /
+                   std::chrono::duration<double>(settings_.fast_smoothing_));
+  for (auto& [model, demand] : demand_) {
+    demand.now_ += (current[model] - demand.now_) * weight;
+    demand.fast_ += (current[model] - demand.fast_) * fast_weight;
+  }
+  total_demand_ = 0;
+  top_demand_ = 0;
+  for (auto& [model, demand] : demand_) {
+    demand.remembered_ = std::max(demand.remembered_ * keep, demand.now_);
+    total_demand_ += demand.now_;
+    top_demand_ = std::max(top_demand_, demand.now_);
+  }
+}
+
+auto OrderPlanner::Weight(const std::string& model) const -> double {
+  const auto found = demand_.find(model);
+  if (found == demand_.end()) {
+    return 0;
+  }
+  const auto& demand = found->second;
+  // A model that is silent now keeps a part of its weight.
+  auto weight = std::max(demand.now_, demand.remembered_ / 3);
+  if (demand.fast_ >= settings_.least_trend_) {
+    weight = std::max(weight, demand.fast_);
+  }
+  return demand.now_ >= settings_.next_share_ * total_demand_
+             ? std::max(weight, settings_.next_weight_ * top_demand_)
+             : weight;
+}
+
+auto OrderPlanner::MayLoadFromStore(const EngineSpec& engine,
+                                    std::size_t planned, TimePoint now)
+    -> bool {
+  while (!store_loads_.empty() &&
+         now - store_loads_.front() > settings_.load_window_) {
+    store_loads_.pop_front();
+  }
+  const auto most =
+      settings_.load_share_ * engine.store_loads_per_second_ *
+      std::chrono::duration<double>(settings_.load_window_).count();
+  return static_cast<double>(store_loads_.size() + planned) + 1 <= most;
+}
+
+auto OrderPlanner::PlannedStoreLoads() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(servers_.begin(), servers_.end(), [](const auto& item) {
+        const auto& order = item.second.order_;
+        if (!order) {
+          return false;
+        }
+        const auto& load = order->kind_ == OrderKind::kLoad ? order->model_
+                                                            : order->then_load_;
+        const bool pending =
+            order->kind_ == OrderKind::kUnload || !order->sent_;
+        return pending && !load.empty() && item.second.cached_.count(load) == 0;
+      }));
+}
+
+auto OrderPlanner::PlaceCopy(const std::string& service,
+                             const EngineSpec& engine, const std::string& model,
+                             TimePoint now) -> bool {
+  const auto* spec = Spec(engine, model);
+  if (spec == nullptr) {
+    return false;
+  }
+  const auto gain = GainOfCopy(model);
+  const bool may_load_from_store =
+      MayLoadFromStore(engine, PlannedStoreLoads(), now);
+  Server* best = nullptr;
+  std::string best_id;
+  std::string best_victim;
+  double best_cost = std::numeric_limits<double>::max();
+  for (auto& [id, server] : servers_) {
+    if (server.registration_.service_ != service || !server.known_ ||
+        server.registration_.leaving_ || server.order_ ||
+        server.models_.count(model) > 0) {
+      continue;
+    }
+    const bool cached = server.cached_.count(model) > 0;
+    if (!cached && !may_load_from_store) {
+      continue;
+    }
+    // The cost of a place is the demand that its present copy serves; a load
+    // from the weight store costs more than one from the target's own copy.
+    double cost = cached ? 0 : settings_.busy_copy_ / 20;
+    std::string victim;
+    const auto used_mb = UsedMb(server, engine);
+    if (used_mb + spec->memory_mb_ > engine.weights_mb_) {
+      double least = std::numeric_limits<double>::max();
+      for (const auto& [resident, adapters] : server.models_) {
+        const auto* resident_spec = Spec(engine, resident);
+        if (resident_spec == nullptr ||
+            used_mb - resident_spec->memory_mb_ -
+                    resident_spec->adapter_mb_ *
+                        static_cast<double>(adapters.size()) +
+                    spec->memory_mb_ >
+                engine.weights_mb_) {
+          continue;
+        }
+        const auto lost = CostOfCopy(resident);
+        if (lost < least) {
+          least = lost;
+          victim = resident;
+        }
+      }
+      // Before any demand is known, the placement at hand says most of it.
+      if (victim.empty() || (total_demand_ <= 0 && !all_fit_) ||
+          gain < settings_.move_gain_ * least) {
+        continue;
+      }
+      cost += least;
+    }
+    if (cost < best_cost) {
+      best = &server;
+      best_id = id;
+      best_victim = victim;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  ModelOrder order;
+  if (best_victim.empty()) {
+    order.kind_ = OrderKind::kLoad;
+    order.model_ = model;
+    order.not_before_ = now;
+  } else {
+    order.kind_ = OrderKind::kUnload;
+    order.model_ = best_victim;
+    order.then_load_ = model;
+    order.not_before_ = now + settings_.removal_notice_;
+    Announce({best_id, best_victim, "", true}, now);
+    --copies_[best_victim];
+  }
+  best->order_ = order;
+  ++copies_[model];
+  return true;
+}
+
+auto OrderPlanner::PlanModels(const std::string& service,
+                              const EngineSpec& engine, TimePoint now) -> void {
+  copies_.clear();
+  bool all_known = true;
+  double room_mb = 0;
+  for (const auto& [id, server] : servers_) {
+    if (server.registration_.service_ != service ||
+        server.registration_.leaving_) {
+      continue;
+    }
+    room_mb += engine.weights_mb_;
+    all_known = all_known && (server.seen_ || server.failed_reports_ > 1);
+    for (const auto& [model, adapters] : server.models_) {
+      ++copies_[model];
+    }
+    if (server.order_) {
+      const auto& order = *server.order_;
+      if (order.kind_ == OrderKind::kLoad &&
+          server.models_.count(order.model_) == 0) {
+        ++copies_[order.model_];
+      } else if (order.kind_ == OrderKind::kUnload) {
+        --copies_[order.model_];
+        copies_[order.then_load_] += order.then_load_.empty() ? 0 : 1;
+      }
+    }
+  }
+  double models_mb = 0;
+  for (const auto& model : engine.models_) {
+    models_mb += model.memory_mb_;
+  }
+  all_fit_ = models_mb <= settings_.fit_share_ * room_mb;
+  if (!all_known) {
+    return;  // a copy that has not been seen yet may exist
+  }
+  // The model with the largest need goes first, and again as long as it has
+  // the largest: a shift of demand asks for many copies of one model at once.
+  std::priority_queue<std::pair<double, std::string>> by_need;
+  const auto need_of = [this](const std::string& model) {
+    const auto weight = Weight(model);
+    const auto copies = copies_[model];
+    if (copies <= 0) {
+      return settings_.first_copy_need_ + weight;
+    }
+    const auto share = weight / static_cast<double>(copies);
+    return share > settings_.busy_copy_ ? share : 0;
+  };
+  for (const auto& model : engine.models_) {
+    if (const auto need = need_of(model.name_); need > 0) {
+      by_need.emplace(need, model.name_);
+    }
+  }
+  std::map<std::string, int> placed;
+  while (!by_need.empty()) {
+    const auto model = by_need.top().second;
+    by_need.pop();
+    if (!PlaceCopy(service, engine, model, now)) {
+      continue;
+    }
+    const auto need = need_of(model);
+    if (++placed[model] < settings_.copies_per_plan_ && need > 0) {
+      by_need.emplace(need, model);
+    }
+  }
+}
+
+}  // namespace baobab::gateway
--- a/modules/baobab_gateway/work_item.h
+++ b/modules/baobab_gateway/work_item.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -28,6 +29,30 @@
   std::vector<PromptPart> parts_;      ///< In order; the last one is its own.
 };
 
+/// Returns the number of output tokens to reserve memory for: twice the estimate
+/// of the caller, which is right at the median but often far off.
+[[nodiscard]] inline auto ExpectedOutput(const Generation& generation)
+    -> std::uint32_t {
+  if (generation.output_expected_ == 0) {
+    return generation.output_limit_;
+  }
+  return std::min(generation.output_limit_, 2 * generation.output_expected_);
+}
+
+/// Returns the cache memory that a request may take, in tokens.
+[[nodiscard]] inline auto CacheTokens(const Generation& generation)
+    -> std::uint32_t {
+  return generation.prompt_tokens_ + ExpectedOutput(generation);
+}
+
+/// Returns the number of output tokens that is most likely.
+[[nodiscard]] inline auto OutputTokens(const Generation& generation)
+    -> std::uint32_t {
+  return generation.output_expected_ > 0
+             ? std::min(generation.output_expected_, generation.output_limit_)
+             : generation.output_limit_;
+}
+
 /// A request as the dispatch decision sees it.
 struct WorkItem {
   WorkId id_ = 0;
