--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -188,49 +188,9 @@
         request, addresses, std::min(kDirectoryAge, settings_.directory_age_));
   }
 
-  auto OnControl(const HttpRequest& request) -> HttpResponse {
-    HttpResponse response;
-    if (request.path_ == "/state" && sync_.is_complete()) {
-      boost::json::array targets;
-      for (const auto& [id, raw] : sync_.raw_targets()) {
-        targets.push_back(boost::json::array{id, raw.first, raw.second});
-      }
-      boost::json::array instances;
-      for (const auto& [name, instance] : directory_.instances()) {
-        instances.emplace_back(instance.address_);
-      }
-      response.body_ = boost::json::serialize(
-          boost::json::object{{"manifest", sync_.manifest_text()},
-                              {"targets", std::move(targets)},
-                              {"instances", std::move(instances)}});
-    } else if (request.path_ == "/metrics") {
-      return MetricsPage();
-    } else {
-      response.status_ = request.path_ == "/state" ? 503 : 404;
-    }
-    return response;
-  }
+  auto OnControl(const HttpRequest& request) -> HttpResponse;
 
-  auto MetricsPage() -> HttpResponse {
-    HttpResponse response;
-    response.content_type_ = "text/plain; version=0.0.4";
-    const auto now = Now();
-    auto& dispatcher = gateway_.dispatcher();
-    metrics_.Set("gateway_waiting", "",
-                 static_cast<double>(dispatcher.waiting()));
-    metrics_.Set("gateway_running", "",
-                 static_cast<double>(dispatcher.running()));
-    metrics_.Set(
-        "gateway_oldest_wait_seconds", "",
-        std::chrono::duration<double>(dispatcher.OldestWait(now)).count());
-    metrics_.Set(
-        "gateway_manifest_version", "",
-        sync_.manifest() ? static_cast<double>(sync_.manifest()->version_) : 0);
-    metrics_.Set("gateway_store_connected", "", sync_.is_connected() ? 1 : 0);
-    metrics_.Set("gateway_is_holder", "", holder_.fencing_token() != 0 ? 1 : 0);
-    response.body_ = metrics_.Render();
-    return response;
-  }
+  auto MetricsPage() -> HttpResponse;
 
   auto OnManifest(const std::shared_ptr<const Manifest>& manifest) -> void {
     gateway_.SetManifest(manifest);
@@ -272,379 +232,58 @@
                             : item.value_.substr(space + 1));
   }
 
-  auto OnPeer(const PeerReport& report) -> void {
-    const auto now = Now();
-    if (report.instance_ == settings_.instance_ ||
-        !directory_.Hear(report, now)) {
-      return;
-    }
-    auto& dispatcher = gateway_.dispatcher();
-    dispatcher.OnPeerWork(report.instance_, report.work_, now);
-    for (const auto& change : report.changes_) {
-      ApplyChange(change);
-    }
-    sync_.OnHint(
-        report.important_revision_,
-        report.store_read_age_
-            ? std::optional(now - *report.store_read_age_ - kReportTravel)
-            : std::nullopt);
-    holder_.OnOtherHolder(report.fencing_token_);
-    if (report.fencing_token_ == 0) {
-      holder_.OnOtherIsNoHolder(Mark(report.instance_, report.incarnation_),
-                                report.recent_orders_);
-    }
-    if (holder_.fencing_token() != 0) {
-      holder_.planner().OnPeer(report.instance_, report.demand_, report.needs_,
-                               report.uses_, now);
-    }
-    if (!report.needs_.empty() && holder_.fencing_token() != 0) {
-      for (const auto& need : report.needs_) {
-        requesters_[{need.model_, need.adapter_}][report.address_] = now;
-      }
-      holder_.Pump();
-    }
-    if (!report.changes_.empty() && dispatcher.waiting() > 0) {
-      gateway_.Pump();
-    }
-  }
+  auto OnPeer(const PeerReport& report) -> void;
 
-  auto OnPeerWork(const WorkUpdate& update) -> void {
-    const auto now = Now();
-    if (update.instance_ != settings_.instance_ &&
-        directory_.HearUpdate(update, now)) {
-      gateway_.dispatcher().OnPeerTargetWork(update.instance_, update.target_,
-                                             update.work_, now);
-    }
-  }
+  auto OnPeerWork(const WorkUpdate& update) -> void;
 
   /// Tells all peers what this instance has in progress at `targets`.
-  auto SendWorkUpdates(const std::set<std::string>& targets) -> void {
-    const auto now = Now();
-    for (const auto& target : targets) {
-      const auto bytes = EncodeWorkUpdate(
-          {settings_.instance_, incarnation_, ++sequence_, target,
-           gateway_.dispatcher().OwnWorkAt(target, now)});
-      for (const auto& [name, instance] : directory_.instances()) {
-        if (instance.heard_) {
-          peers_.Send(instance.address_, bytes);
-        }
-      }
-    }
-  }
+  auto SendWorkUpdates(const std::set<std::string>& targets) -> void;
 
-  auto ApplyChange(const HoldingChange& change) -> void {
-    auto& dispatcher = gateway_.dispatcher();
-    if (change.removed_) {
-      dispatcher.OnRemoval(change.target_, change.model_, change.adapter_);
-    } else {
-      dispatcher.OnAdapterLoaded(change.target_, change.model_,
-                                 change.adapter_);
-    }
-  }
+  auto ApplyChange(const HoldingChange& change) -> void;
 
   /// Requests wait for an adapter that no target holds: tells the holder.
-  auto OnNeeds() -> void {
-    auto needs = gateway_.dispatcher().AdapterNeeds();
-    if (needs == last_needs_) {
-      return;
-    }
-    last_needs_ = std::move(needs);
-    if (!last_needs_.empty()) {
-      ReportSoon();
-    }
-  }
+  auto OnNeeds() -> void;
 
   /// The holder of orders has the answer to `order`: tells the instances whose
   /// requests wait for it. The others hear of it in the next report. Telling
   /// all of them at once took more than the 10 Mbit/s of a small instance.
-  auto OnOrdered(const EngineOrder& order) -> void {
-    const auto now = Now();
-    const auto asked = requesters_.find({order.model_, order.adapter_});
-    if (asked != requesters_.end()) {
-      for (const auto& [address, at] : asked->second) {
-        if (now - at <= kNeedReported) {
-          urgent_to_.insert(address);
-        }
-      }
-      requesters_.erase(asked);
-    }
-    if (!urgent_to_.empty()) {
-      ReportSoon();
-    }
-  }
+  auto OnOrdered(const EngineOrder& order) -> void;
 
   /// Reports before the next interval: needs to the holder, or, as the holder,
   /// changes of what targets hold: adapters to the instances in `urgent_to_`,
   /// models to all.
-  auto ReportSoon() -> void {
-    if (urgent_pending_) {
-      return;
-    }
-    urgent_pending_ = true;
-    urgent_timer_.expires_after(kUrgentInterval);
-    urgent_timer_.async_wait([this](boost::system::error_code error) {
-      urgent_pending_ = false;
-      if (!error) {
-        const bool to_all =
-            urgent_to_all_ && Now() - reported_at_ >= kBroadcastInterval;
-        SendReport(/*urgent=*/!to_all);
-      }
-    });
-  }
+  auto ReportSoon() -> void;
 
-  auto Report() -> void {
-    SendReport();
-    report_timer_.expires_after(
-        kReportInterval +
-        kReportPerPeer * static_cast<int>(directory_.instances().size()));
-    report_timer_.async_wait([this](boost::system::error_code error) {
-      if (!error) {
-        Report();
-      }
-    });
+  auto Report() -> void;
+
+  [[nodiscard]] auto IsStoreConnected(TimePoint now) const -> bool {
+    return now - store_.last_answer() <= kStoreSilence;
   }
 
+  /// Takes and leaves duties by what is known of the store and of peers. Comes
+  /// before a report, so that the report says what holds from now on.
+  auto UpdateDuties(TimePoint now) -> void;
+
+  /// Returns what every peer hears of this instance.
+  [[nodiscard]] auto MakeReport(TimePoint now) -> PeerReport;
+
   /// `urgent`: only to the holder of orders and the instances in `urgent_to_`.
-  auto SendReport(bool urgent = false) -> void {
-    const auto now = Now();
-    directory_.Expire(now);
-    const bool store_connected = now - store_.last_answer() <= kStoreSilence;
-    holder_.SetStoreConnected(store_connected);
-    gateway_.SetStoreConnected(store_connected);
-    if (!store_connected) {
-      if (const auto at = directory_.StoreAwayForAllSince(now)) {
-        // Reports take a moment to arrive: they speak of an earlier time.
-        holder_.OnStoreAwayForAll(BootTime() - (now - *at) - kReportTravel);
-      }
-    }
-    gateway_.SetInstances(directory_.CountWithOwn());
-    auto& dispatcher = gateway_.dispatcher();
-    dispatcher.ExpirePeers(now);
-    PeerReport report;
-    report.instance_ = settings_.instance_;
-    report.incarnation_ = incarnation_;
-    report.sequence_ = ++sequence_;
-    report.address_ = settings_.address_;
-    report.callers_ = settings_.callers_ ? settings_.callers_->ToString() : "";
-    report.zone_ = settings_.zone_;
-    report.ready_ = IsReady();
-    report.stopping_ = stopping_;
-    report.manifest_version_ =
-        sync_.manifest() ? sync_.manifest()->version_ : 0;
-    report.important_revision_ = sync_.important_revision();
-    if (sync_.is_reader() && sync_.is_connected()) {
-      report.store_read_age_ = now - sync_.read_at();
-    }
-    report.store_connected_ = store_connected;
-    report.fencing_token_ = holder_.fencing_token();
-    report.processor_permille_ = settings_.processor_permille_;
-    report.work_ = dispatcher.OwnWork(now);
-    report.recent_orders_ = holder_.RecentOrders();
-    const auto demand = dispatcher.Demand(now);
-    const auto needs = dispatcher.AdapterNeeds();
-    const auto uses = dispatcher.TakeAdapterUses();
-    sync_.SetReader(report.fencing_token_ != 0 ||
-                    directory_.IsReader(settings_.instance_,
-                                        settings_.processor_permille_, now));
-    holder_.SetStrongerPeer(
-        directory_.HasStronger(settings_.processor_permille_, now));
-    if (report.fencing_token_ != 0) {
-      report.changes_ = holder_.planner().ChangesSince(now - kChangeTime, now);
-      for (const auto& change : report.changes_) {
-        ApplyChange(change);
-      }
-      holder_.planner().OnPeer(settings_.instance_, demand, needs, uses, now);
-      holder_.Pump();
-      gateway_.Pump();
-    }
-    const auto text = EncodePeerReport(report);
-    report.demand_ = demand;
-    report.needs_ = needs;
-    report.uses_ = uses;
-    std::string text_for_holder;  // encoded only if another one is the holder
-    for (const auto& [name, instance] : directory_.instances()) {
-      if (instance.fencing_token_ != 0) {
-        if (text_for_holder.empty()) {
-          text_for_holder = EncodePeerReport(report);
-        }
-        peers_.Send(instance.address_, text_for_holder);
-      } else if (!urgent || urgent_to_.count(instance.address_) > 0) {
-        peers_.Send(instance.address_, text);
-      }
-    }
-    urgent_to_.clear();
-    if (!urgent) {
-      urgent_to_all_ = false;
-      reported_at_ = now;
-    }
-    if (directory_.instances().empty()) {
-      for (const auto& seed : settings_.seeds_) {
-        if (seed.host_ != settings_.address_) {
-          peers_.Send(seed.host_, text);
-        }
-      }
-    }
-  }
+  auto SendReport(bool urgent = false) -> void;
 
-  auto Register() -> void {
-    if (stopping_) {
-      return;
-    }
-    if (registration_lease_ != 0) {
-      store_.KeepLease(registration_lease_, [this](auto result) {
-        if (const auto* failure = std::get_if<StoreFailure>(&result);
-            failure != nullptr && *failure == StoreFailure::kNoLease) {
-          LogEvent(LogLevel::kWarning, "registration_lapsed")
-              .With("lease", registration_lease_);
-          registration_lease_ = 0;
-        }
-        RegisterLater(registration_lease_ == 0 ? Duration::zero()
-                                               : kRegistrationInterval);
-      });
-      return;
-    }
-    store_.GrantLease(kRegistrationTime, [this](auto result) {
-      const auto* lease = std::get_if<StoreLease>(&result);
-      if (lease == nullptr) {
-        RegisterLater(kRegistrationInterval);
-        return;
-      }
-      StoreChange change;
-      change.writes_.push_back(
-          {kInstances + settings_.instance_,
-           settings_.address_ + " " +
-               (settings_.callers_ ? settings_.callers_->ToString() : ""),
-           lease->id_});
-      const auto id = lease->id_;
-      store_.Commit(change, [this, id](auto committed) {
-        if (std::holds_alternative<std::int64_t>(committed)) {
-          registration_lease_ = id;
-          LogEvent(LogLevel::kInfo, "instance_registered").With("lease", id);
-        }
-        RegisterLater(kRegistrationInterval);
-      });
-    });
-  }
+  auto Register() -> void;
 
-  auto RegisterLater(Duration delay) -> void {
-    registration_timer_.expires_after(delay);
-    registration_timer_.async_wait([this](boost::system::error_code error) {
-      if (!error) {
-        Register();
-      }
-    });
-  }
+  auto RegisterLater(Duration delay) -> void;
 
   /// Reads the state from a peer while the store does not answer.
-  auto AskPeers() -> void {
-    std::vector<TargetEndpoint> candidates = settings_.seeds_;
-    for (const auto& [name, instance] : directory_.instances()) {
-      if (settings_.control_) {
-        candidates.push_back({instance.address_, settings_.control_->port_});
-      }
-    }
-    std::erase_if(candidates, [this](const TargetEndpoint& candidate) {
-      return candidate.host_ == settings_.address_;
-    });
-    if (!candidates.empty()) {
-      std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
-      TargetRequest request;
-      request.endpoint_ = candidates[draw(random_)];
-      request.path_ = "/state";
-      request.timeouts_ = {kAskPeersAfter, kAskPeersAfter, kAskPeersAfter,
-                           kAskPeersAfter};
-      StartWholeExchange(store_pool_, std::move(request), kLargestState,
-                         {[this](const TargetResponse& response) {
-                            if (response.head_.status_ == 200) {
-                              AdoptState(response.body_);
-                            }
-                          },
-                          [](const AttemptFailure& failure) {
-                            LogEvent(LogLevel::kInfo, "peer_state_failed")
-                                .With("peer", failure.peer_)
-                                .With("reason", failure.reason_);
-                          }});
-    }
-    start_timer_.expires_after(kAskPeersAfter);
-    start_timer_.async_wait([this](boost::system::error_code error) {
-      if (!error && !sync_.is_complete()) {
-        AskPeers();
-      }
-    });
-  }
+  auto AskPeers() -> void;
 
-  auto AdoptState(const std::string& text) -> void {
-    try {
-      const auto document = boost::json::parse(text);
-      const auto& object = document.as_object();
-      const auto manifest =
-          boost::json::value_to<std::string>(object.at("manifest"));
-      if (manifest.empty() || sync_.is_complete()) {
-        return;
-      }
-      sync_.AdoptManifest(manifest);
-      for (const auto& entry : object.at("targets").as_array()) {
-        const auto& fields = entry.as_array();
-        sync_.AdoptTarget(boost::json::value_to<std::string>(fields.at(0)),
-                          boost::json::value_to<std::string>(fields.at(1)),
-                          fields.at(2).to_number<std::int64_t>());
-      }
-      sync_.FinishAdoption();
-    } catch (const std::exception& error) {
-      LogEvent(LogLevel::kWarning, "peer_state_unreadable")
-          .With("reason", error.what());
-    }
-  }
+  auto AdoptState(const std::string& text) -> void;
 
-  auto WaitForSignal() -> void {
-    signals_.async_wait([this](boost::system::error_code error, int signal) {
-      if (error) {
-        return;
-      }
-      if (signal == SIGHUP) {
-        // Addresses and bounds hold for the life of a process; what may change
-        // at run time comes from the store.
-        LogEvent(LogLevel::kInfo, "settings_reload").With("changed", 0);
-      } else if (!stopping_) {
-        BeginStop();
-      }
-      WaitForSignal();
-    });
-  }
+  auto WaitForSignal() -> void;
 
-  auto BeginStop() -> void {
-    LogEvent(LogLevel::kInfo, "stop_requested")
-        .With("active", gateway_.active());
-    stopping_ = true;
-    stop_at_ = Now();
-    holder_.Stop();
-    gateway_.BeginStop();
-    if (registration_lease_ != 0) {
-      store_.EndLease(registration_lease_, [](const auto&) {});
-    }
-    SendReport();
-    CheckStop();
-  }
+  auto BeginStop() -> void;
 
-  auto CheckStop() -> void {
-    const auto elapsed = Now() - stop_at_;
-    if (elapsed >= kStopLinger && !std::exchange(refusing_, true)) {
-      gateway_.RefuseNew();
-    }
-    if ((gateway_.active() == 0 && elapsed >= kStopLinger) ||
-        elapsed >= settings_.stop_grace_ - kStopReserve) {
-      LogEvent(LogLevel::kInfo, "instance_stopped")
-          .With("active", gateway_.active());
-      io_.stop();
-      return;
-    }
-    stop_timer_.expires_after(kStopCheck);
-    stop_timer_.async_wait([this](boost::system::error_code error) {
-      if (!error) {
-        CheckStop();
-      }
-    });
-  }
+  auto CheckStop() -> void;
 
   /// Longest usual time of a report on its way, with the sender's delays.
   static constexpr Duration kReportTravel = std::chrono::milliseconds(150);
@@ -692,3 +331,7 @@
 };
 
 }  // namespace baobab::gateway
+
+// Definitions of the members declared above.
+#include "baobab_gateway/entry_instance_reports.h"
+#include "baobab_gateway/entry_instance_state.h"
--- /dev/null
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -0,0 +1,234 @@
+#pragma once
+
+// EntryInstance: what it tells its peers and hears from them.
+
+#include "baobab_gateway/entry_instance.h"
+
+namespace baobab::gateway {
+
+template <class Platform>
+auto EntryInstance<Platform>::OnPeer(const PeerReport& report) -> void {
+  const auto now = Now();
+  if (report.instance_ == settings_.instance_ ||
+      !directory_.Hear(report, now)) {
+    return;
+  }
+  auto& dispatcher = gateway_.dispatcher();
+  dispatcher.OnPeerWork(report.instance_, report.work_, now);
+  for (const auto& change : report.changes_) {
+    ApplyChange(change);
+  }
+  sync_.OnHint(
+      report.important_revision_,
+      report.store_read_age_
+          ? std::optional(now - *report.store_read_age_ - kReportTravel)
+          : std::nullopt);
+  holder_.OnOtherHolder(report.fencing_token_);
+  if (report.fencing_token_ == 0) {
+    holder_.OnOtherIsNoHolder(Mark(report.instance_, report.incarnation_),
+                              report.recent_orders_);
+  }
+  if (holder_.fencing_token() != 0) {
+    holder_.planner().OnPeer(report.instance_, report.demand_, report.needs_,
+                             report.uses_, now);
+  }
+  if (!report.needs_.empty() && holder_.fencing_token() != 0) {
+    for (const auto& need : report.needs_) {
+      requesters_[{need.model_, need.adapter_}][report.address_] = now;
+    }
+    holder_.Pump();
+  }
+  if (!report.changes_.empty() && dispatcher.waiting() > 0) {
+    gateway_.Pump();
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::OnPeerWork(const WorkUpdate& update) -> void {
+  const auto now = Now();
+  if (update.instance_ != settings_.instance_ &&
+      directory_.HearUpdate(update, now)) {
+    gateway_.dispatcher().OnPeerTargetWork(update.instance_, update.target_,
+                                           update.work_, now);
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::SendWorkUpdates(
+    const std::set<std::string>& targets) -> void {
+  const auto now = Now();
+  for (const auto& target : targets) {
+    const auto bytes = EncodeWorkUpdate(
+        {settings_.instance_, incarnation_, ++sequence_, target,
+         gateway_.dispatcher().OwnWorkAt(target, now)});
+    for (const auto& [name, instance] : directory_.instances()) {
+      if (instance.heard_) {
+        peers_.Send(instance.address_, bytes);
+      }
+    }
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::ApplyChange(const HoldingChange& change) -> void {
+  auto& dispatcher = gateway_.dispatcher();
+  if (change.removed_) {
+    dispatcher.OnRemoval(change.target_, change.model_, change.adapter_);
+  } else {
+    dispatcher.OnAdapterLoaded(change.target_, change.model_, change.adapter_);
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::OnNeeds() -> void {
+  auto needs = gateway_.dispatcher().AdapterNeeds();
+  if (needs == last_needs_) {
+    return;
+  }
+  last_needs_ = std::move(needs);
+  if (!last_needs_.empty()) {
+    ReportSoon();
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::OnOrdered(const EngineOrder& order) -> void {
+  const auto now = Now();
+  const auto asked = requesters_.find({order.model_, order.adapter_});
+  if (asked != requesters_.end()) {
+    for (const auto& [address, at] : asked->second) {
+      if (now - at <= kNeedReported) {
+        urgent_to_.insert(address);
+      }
+    }
+    requesters_.erase(asked);
+  }
+  if (!urgent_to_.empty()) {
+    ReportSoon();
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::ReportSoon() -> void {
+  if (urgent_pending_) {
+    return;
+  }
+  urgent_pending_ = true;
+  urgent_timer_.expires_after(kUrgentInterval);
+  urgent_timer_.async_wait([this](boost::system::error_code error) {
+    urgent_pending_ = false;
+    if (!error) {
+      const bool to_all =
+          urgent_to_all_ && Now() - reported_at_ >= kBroadcastInterval;
+      SendReport(/*urgent=*/!to_all);
+    }
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::Report() -> void {
+  SendReport();
+  report_timer_.expires_after(
+      kReportInterval +
+      kReportPerPeer * static_cast<int>(directory_.instances().size()));
+  report_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Report();
+    }
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::UpdateDuties(TimePoint now) -> void {
+  directory_.Expire(now);
+  gateway_.SetInstances(directory_.CountWithOwn());
+  gateway_.dispatcher().ExpirePeers(now);
+  const bool store_connected = IsStoreConnected(now);
+  holder_.SetStoreConnected(store_connected);
+  gateway_.SetStoreConnected(store_connected);
+  if (!store_connected) {
+    if (const auto at = directory_.StoreAwayForAllSince(now)) {
+      // Reports take a moment to arrive: they speak of an earlier time.
+      holder_.OnStoreAwayForAll(BootTime() - (now - *at) - kReportTravel);
+    }
+  }
+  holder_.SetStrongerPeer(
+      directory_.HasStronger(settings_.processor_permille_, now));
+  sync_.SetReader(holder_.fencing_token() != 0 ||
+                  directory_.IsReader(settings_.instance_,
+                                      settings_.processor_permille_, now));
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::MakeReport(TimePoint now) -> PeerReport {
+  auto& dispatcher = gateway_.dispatcher();
+  PeerReport report;
+  report.instance_ = settings_.instance_;
+  report.incarnation_ = incarnation_;
+  report.sequence_ = ++sequence_;
+  report.address_ = settings_.address_;
+  report.callers_ = settings_.callers_ ? settings_.callers_->ToString() : "";
+  report.zone_ = settings_.zone_;
+  report.ready_ = IsReady();
+  report.stopping_ = stopping_;
+  report.manifest_version_ = sync_.manifest() ? sync_.manifest()->version_ : 0;
+  report.important_revision_ = sync_.important_revision();
+  if (sync_.is_reader() && sync_.is_connected()) {
+    report.store_read_age_ = now - sync_.read_at();
+  }
+  report.store_connected_ = IsStoreConnected(now);
+  report.fencing_token_ = holder_.fencing_token();
+  report.processor_permille_ = settings_.processor_permille_;
+  report.work_ = dispatcher.OwnWork(now);
+  report.recent_orders_ = holder_.RecentOrders();
+  return report;
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::SendReport(bool urgent) -> void {
+  const auto now = Now();
+  UpdateDuties(now);
+  auto report = MakeReport(now);
+  auto& dispatcher = gateway_.dispatcher();
+  auto demand = dispatcher.Demand(now);
+  auto needs = dispatcher.AdapterNeeds();
+  auto uses = dispatcher.TakeAdapterUses();
+  if (report.fencing_token_ != 0) {
+    report.changes_ = holder_.planner().ChangesSince(now - kChangeTime, now);
+    for (const auto& change : report.changes_) {
+      ApplyChange(change);
+    }
+    holder_.planner().OnPeer(settings_.instance_, demand, needs, uses, now);
+    holder_.Pump();
+    gateway_.Pump();
+  }
+  const auto text = EncodePeerReport(report);
+  report.demand_ = std::move(demand);
+  report.needs_ = std::move(needs);
+  report.uses_ = std::move(uses);
+  std::string text_for_holder;  // encoded only if another one is the holder
+  for (const auto& [name, instance] : directory_.instances()) {
+    if (instance.fencing_token_ != 0) {
+      if (text_for_holder.empty()) {
+        text_for_holder = EncodePeerReport(report);
+      }
+      peers_.Send(instance.address_, text_for_holder);
+    } else if (!urgent || urgent_to_.count(instance.address_) > 0) {
+      peers_.Send(instance.address_, text);
+    }
+  }
+  urgent_to_.clear();
+  if (!urgent) {
+    urgent_to_all_ = false;
+    reported_at_ = now;
+  }
+  if (directory_.instances().empty()) {
+    for (const auto& seed : settings_.seeds_) {
+      if (seed.host_ != settings_.address_) {
+        peers_.Send(seed.host_, text);
+      }
+    }
+  }
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -0,0 +1,222 @@
+#pragma once
+
+// EntryInstance: its registration, the state that it gives and takes, and its
+// end.
+
+#include "baobab_gateway/entry_instance.h"
+
+namespace baobab::gateway {
+
+template <class Platform>
+auto EntryInstance<Platform>::Register() -> void {
+  if (stopping_) {
+    return;
+  }
+  if (registration_lease_ != 0) {
+    store_.KeepLease(registration_lease_, [this](auto result) {
+      if (const auto* failure = std::get_if<StoreFailure>(&result);
+          failure != nullptr && *failure == StoreFailure::kNoLease) {
+        LogEvent(LogLevel::kWarning, "registration_lapsed")
+            .With("lease", registration_lease_);
+        registration_lease_ = 0;
+      }
+      RegisterLater(registration_lease_ == 0 ? Duration::zero()
+                                             : kRegistrationInterval);
+    });
+    return;
+  }
+  store_.GrantLease(kRegistrationTime, [this](auto result) {
+    const auto* lease = std::get_if<StoreLease>(&result);
+    if (lease == nullptr) {
+      RegisterLater(kRegistrationInterval);
+      return;
+    }
+    StoreChange change;
+    change.writes_.push_back(
+        {kInstances + settings_.instance_,
+         settings_.address_ + " " +
+             (settings_.callers_ ? settings_.callers_->ToString() : ""),
+         lease->id_});
+    const auto id = lease->id_;
+    store_.Commit(change, [this, id](auto committed) {
+      if (std::holds_alternative<std::int64_t>(committed)) {
+        registration_lease_ = id;
+        LogEvent(LogLevel::kInfo, "instance_registered").With("lease", id);
+      }
+      RegisterLater(kRegistrationInterval);
+    });
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::RegisterLater(Duration delay) -> void {
+  registration_timer_.expires_after(delay);
+  registration_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Register();
+    }
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::AskPeers() -> void {
+  std::vector<TargetEndpoint> candidates = settings_.seeds_;
+  for (const auto& [name, instance] : directory_.instances()) {
+    if (settings_.control_) {
+      candidates.push_back({instance.address_, settings_.control_->port_});
+    }
+  }
+  std::erase_if(candidates, [this](const TargetEndpoint& candidate) {
+    return candidate.host_ == settings_.address_;
+  });
+  if (!candidates.empty()) {
+    std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+    TargetRequest request;
+    request.endpoint_ = candidates[draw(random_)];
+    request.path_ = "/state";
+    request.timeouts_ = {kAskPeersAfter, kAskPeersAfter, kAskPeersAfter,
+                         kAskPeersAfter};
+    StartWholeExchange(store_pool_, std::move(request), kLargestState,
+                       {[this](const TargetResponse& response) {
+                          if (response.head_.status_ == 200) {
+                            AdoptState(response.body_);
+                          }
+                        },
+                        [](const AttemptFailure& failure) {
+                          LogEvent(LogLevel::kInfo, "peer_state_failed")
+                              .With("peer", failure.peer_)
+                              .With("reason", failure.reason_);
+                        }});
+  }
+  start_timer_.expires_after(kAskPeersAfter);
+  start_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error && !sync_.is_complete()) {
+      AskPeers();
+    }
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::AdoptState(const std::string& text) -> void {
+  try {
+    const auto document = boost::json::parse(text);
+    const auto& object = document.as_object();
+    const auto manifest =
+        boost::json::value_to<std::string>(object.at("manifest"));
+    if (manifest.empty() || sync_.is_complete()) {
+      return;
+    }
+    sync_.AdoptManifest(manifest);
+    for (const auto& entry : object.at("targets").as_array()) {
+      const auto& fields = entry.as_array();
+      sync_.AdoptTarget(boost::json::value_to<std::string>(fields.at(0)),
+                        boost::json::value_to<std::string>(fields.at(1)),
+                        fields.at(2).to_number<std::int64_t>());
+    }
+    sync_.FinishAdoption();
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kWarning, "peer_state_unreadable")
+        .With("reason", error.what());
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::WaitForSignal() -> void {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      // Addresses and bounds hold for the life of a process; what may change
+      // at run time comes from the store.
+      LogEvent(LogLevel::kInfo, "settings_reload").With("changed", 0);
+    } else if (!stopping_) {
+      BeginStop();
+    }
+    WaitForSignal();
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::BeginStop() -> void {
+  LogEvent(LogLevel::kInfo, "stop_requested").With("active", gateway_.active());
+  stopping_ = true;
+  stop_at_ = Now();
+  holder_.Stop();
+  gateway_.BeginStop();
+  if (registration_lease_ != 0) {
+    store_.EndLease(registration_lease_, [](const auto&) {});
+  }
+  SendReport();
+  CheckStop();
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::CheckStop() -> void {
+  const auto elapsed = Now() - stop_at_;
+  if (elapsed >= kStopLinger && !std::exchange(refusing_, true)) {
+    gateway_.RefuseNew();
+  }
+  if ((gateway_.active() == 0 && elapsed >= kStopLinger) ||
+      elapsed >= settings_.stop_grace_ - kStopReserve) {
+    LogEvent(LogLevel::kInfo, "instance_stopped")
+        .With("active", gateway_.active());
+    io_.stop();
+    return;
+  }
+  stop_timer_.expires_after(kStopCheck);
+  stop_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      CheckStop();
+    }
+  });
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::OnControl(const HttpRequest& request)
+    -> HttpResponse {
+  HttpResponse response;
+  if (request.path_ == "/state" && sync_.is_complete()) {
+    boost::json::array targets;
+    for (const auto& [id, raw] : sync_.raw_targets()) {
+      targets.push_back(boost::json::array{id, raw.first, raw.second});
+    }
+    boost::json::array instances;
+    for (const auto& [name, instance] : directory_.instances()) {
+      instances.emplace_back(instance.address_);
+    }
+    response.body_ = boost::json::serialize(
+        boost::json::object{{"manifest", sync_.manifest_text()},
+                            {"targets", std::move(targets)},
+                            {"instances", std::move(instances)}});
+  } else if (request.path_ == "/metrics") {
+    return MetricsPage();
+  } else {
+    response.status_ = request.path_ == "/state" ? 503 : 404;
+  }
+  return response;
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::MetricsPage() -> HttpResponse {
+  HttpResponse response;
+  response.content_type_ = "text/plain; version=0.0.4";
+  const auto now = Now();
+  auto& dispatcher = gateway_.dispatcher();
+  metrics_.Set("gateway_waiting", "",
+               static_cast<double>(dispatcher.waiting()));
+  metrics_.Set("gateway_running", "",
+               static_cast<double>(dispatcher.running()));
+  metrics_.Set(
+      "gateway_oldest_wait_seconds", "",
+      std::chrono::duration<double>(dispatcher.OldestWait(now)).count());
+  metrics_.Set(
+      "gateway_manifest_version", "",
+      sync_.manifest() ? static_cast<double>(sync_.manifest()->version_) : 0);
+  metrics_.Set("gateway_store_connected", "", sync_.is_connected() ? 1 : 0);
+  metrics_.Set("gateway_is_holder", "", holder_.fencing_token() != 0 ? 1 : 0);
+  response.body_ = metrics_.Render();
+  return response;
+}
+
+}  // namespace baobab::gateway
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -149,23 +149,7 @@
 
   /// Refuses new connections, and requests that still arrive on open ones: this
   /// instance may end before they do.
-  auto RefuseNew() -> void {
-    refusing_ = true;
-    server_.StopAccepting();
-    ReleaseHeld(Now());
-    std::vector<WorkId> unsent;
-    for (const auto& [id, active] : active_) {
-      if (!active.attempt_ && !active.begun_) {
-        unsent.push_back(id);
-      }
-    }
-    for (const auto id : unsent) {
-      Conclude(id,
-               active_.at(id).may_have_run_ ? RefusalReason::kTargetFailed
-                                            : RefusalReason::kNotRun,
-               "stopping", kStoppingRetry);
-    }
-  }
+  auto RefuseNew() -> void;
 
   /// Requests whose final response has not been handed over to the system.
   [[nodiscard]] auto active() const -> std::size_t {
@@ -240,21 +224,7 @@
         std::chrono::steady_clock::now());
   }
 
-  auto OnRequest(ExchangeId exchange, HttpRequest request) -> void {
-    IngressRequest facts;
-    try {
-      facts = Codec::Decode(request);
-    } catch (const StepError& error) {
-      Refuse(exchange, "", RefusalReason::kMalformed, error.what(), {});
-      return;
-    }
-    const auto now = Now();
-    if (!IsComplete() && !refusing_) {
-      Hold(exchange, std::move(request), std::move(facts), now);
-    } else {
-      Admit(exchange, std::move(request), std::move(facts), now);
-    }
-  }
+  auto OnRequest(ExchangeId exchange, HttpRequest request) -> void;
 
   [[nodiscard]] auto IsComplete() const -> bool {
     return manifest_ && registry_ != nullptr;
@@ -262,469 +232,58 @@
 
   /// Keeps a request for a while that arrives before the routes are known.
   auto Hold(ExchangeId exchange, HttpRequest request, IngressRequest facts,
-            TimePoint now) -> void {
-    const auto until = now + HoldPolicy::LongestHold(facts.time_left_);
-    LogEvent(LogLevel::kInfo, "request_held")
-        .With("id", facts.id_)
-        .With("reason", "no_manifest")
-        .With("longest_ms", Milliseconds(until - now));
-    held_.emplace(exchange,
-                  Held{std::move(request), std::move(facts), now, until});
-    if (held_.size() == 1) {
-      WaitForHeld();
-    }
-  }
+            TimePoint now) -> void;
 
-  auto WaitForHeld() -> void {
-    hold_timer_.expires_after(kHoldCheck);
-    hold_timer_.async_wait([this](boost::system::error_code error) {
-      if (error) {
-        return;
-      }
-      ReleaseHeld(Now());
-      if (!held_.empty()) {
-        WaitForHeld();
-      }
-    });
-  }
+  auto WaitForHeld() -> void;
 
   /// Admits the held requests once the routes are known, and refuses those that
   /// were held for too long.
-  auto ReleaseHeld(TimePoint now) -> void {
-    std::vector<ExchangeId> due;
-    for (const auto& [exchange, held] : held_) {
-      if (IsComplete() || refusing_ || held.until_ <= now) {
-        due.push_back(exchange);
-      }
-    }
-    for (const auto exchange : due) {
-      auto node = held_.extract(exchange);
-      auto& held = node.mapped();
-      if (IsComplete()) {
-        Admit(exchange, std::move(held.request_), std::move(held.facts_),
-              held.arrived_);
-      } else {
-        Refuse(exchange, held.facts_.id_, RefusalReason::kNotRun, "no_manifest",
-               store_connected_ ? kNoManifestRetry : kNoStoreRetry);
-      }
-    }
-  }
+  auto ReleaseHeld(TimePoint now) -> void;
 
   auto Admit(ExchangeId exchange, HttpRequest&& request,
-             IngressRequest&& decoded, TimePoint arrived) -> void {
-    const auto now = Now();
-    Active active;
-    active.exchange_ = exchange;
-    active.facts_ = std::move(decoded);
-    const auto& facts = active.facts_;
-    if (refusing_) {
-      Refuse(exchange, facts.id_, RefusalReason::kNotRun, "stopping",
-             kStoppingRetry);
-      return;
-    }
-    if (facts.id_.empty()) {
-      Refuse(exchange, "", RefusalReason::kMalformed, "no_request_id", {});
-      return;
-    }
-    active.route_ = routes_.Find(facts.host_, request.path_);
-    if (!active.route_) {
-      Refuse(exchange, facts.id_, RefusalReason::kNoRoute, "no_route", {});
-      return;
-    }
-    const auto& route = *active.route_;
-    active.request_ = std::move(request);
-    active.events_ = EventStream(facts.last_event_);
-    auto& item = active.item_;
-    item.id_ = ++last_id_;
-    std::uniform_real_distribution<double> draw(0, 1);
-    item.service_ = PickService(route, draw(random_));
-    if (facts.generation_) {
-      item.generation_ = *facts.generation_;
-    }
-    item.priority_ = route.priority_;
-    item.arrived_ = arrived;
-    item.objective_at_ = arrived + route.objective_;
-    item.limit_at_ =
-        arrived + std::min(facts.time_left_.value_or(route.time_limit_),
-                           route.time_limit_);
-    retries_.OnRequest(item.service_, now);
-    metrics_.Add("gateway_requests_total", Label("route", route.name_));
-    const auto id = item.id_;
-    by_exchange_[exchange] = id;
-    limits_.insert({item.limit_at_, id});
-    const auto copy = item;
-    active_.emplace(id, std::move(active));
-    Enqueue(copy, now);
-  }
+             IngressRequest&& decoded, TimePoint arrived) -> void;
 
-  auto Enqueue(const WorkItem& item, TimePoint now) -> void {
-    if (const auto rejection = dispatcher_.Submit(item, now)) {
-      Reject(*rejection);
-      return;
-    }
-    Pump();
-    const auto found = active_.find(item.id_);
-    if (found == active_.end() || found->second.attempt_) {
-      return;
-    }
-    const auto wait = dispatcher_.PredictedWait(item, now);
-    LogEvent(LogLevel::kInfo, "request_queued")
-        .With("id", found->second.facts_.id_)
-        .With("model", item.generation_.model_)
-        .With("adapter", item.generation_.adapter_)
-        .With("predicted_wait_ms", wait ? Milliseconds(*wait) : -1)
-        .With("waiting", dispatcher_.waiting())
-        .With("left_ms", Milliseconds(item.limit_at_ - now));
-  }
+  auto Enqueue(const WorkItem& item, TimePoint now) -> void;
 
-  auto StartAttempt(const Assignment& assignment) -> void {
-    const auto found = active_.find(assignment.id_);
-    const auto* entry = registry_->Find(assignment.target_);
-    if (found == active_.end() || entry == nullptr) {
-      dispatcher_.Forget(assignment.id_);
-      return;
-    }
-    auto& active = found->second;
-    const auto now = Now();
-    ForwardOptions options;
-    options.target_id_ = assignment.target_;
-    options.endpoint_ = entry->registration_.endpoint_;
-    options.time_left_ = active.item_.limit_at_ - now;
-    options.urgency_ = active.route_->priority_;
-    if (active.begun_) {
-      options.last_event_ = active.events_.last();
-    }
-    auto request = Codec::Forward(active.request_, options);
-    request.timeouts_.connect_ = kConnectTimeout;
-    request.timeouts_.send_ = options.time_left_;
-    request.timeouts_.head_ = options.time_left_;
-    request.timeouts_.body_ = options.time_left_;
-    const auto id = assignment.id_;
-    ExchangeEvents events;
-    events.on_head_ = [this, id](const TargetResponseHead& head) {
-      OnHead(id, head);
-    };
-    events.on_data_ = [this, id](std::string_view data) { OnData(id, data); };
-    events.on_end_ = [this, id]() { OnEnd(id); };
-    events.on_failure_ = [this, id](const AttemptFailure& failure) {
-      OnFailure(id, failure);
-    };
-    active.target_ = assignment.target_;
-    active.head_.reset();
-    active.body_.clear();
-    active.events_.Restart();
-    active.sent_at_ = now;
-    ++active.sends_;
-    LogEvent(LogLevel::kInfo, "request_sent")
-        .With("id", active.facts_.id_)
-        .With("target", assignment.target_)
-        .With("attempt", active.sends_)
-        .With("waited_ms", Milliseconds(now - active.item_.arrived_))
-        .With("score_ms", Milliseconds(assignment.predicted_))
-        .With("first_token_ms", Milliseconds(assignment.first_token_))
-        .With("step_us", assignment.step_.count())
-        .With("busy_permille", assignment.busy_.busy_permille_)
-        .With("running", assignment.busy_.running_)
-        .With("left_ms", Milliseconds(options.time_left_));
-    active.attempt_ =
-        TargetExchange::Start(pool_, std::move(request), std::move(events));
-  }
+  auto StartAttempt(const Assignment& assignment) -> void;
 
-  auto OnHead(WorkId id, const TargetResponseHead& head) -> void {
-    const auto found = active_.find(id);
-    if (found != active_.end()) {
-      found->second.head_ = head;
-    }
-  }
+  auto OnHead(WorkId id, const TargetResponseHead& head) -> void;
 
-  auto OnData(WorkId id, std::string_view data) -> void {
-    const auto found = active_.find(id);
-    if (found == active_.end()) {
-      return;
-    }
-    auto& active = found->second;
-    if (!IsEventStream(active)) {
-      active.body_ += data;
-      return;
-    }
-    const auto events = active.events_.Take(data);
-    if (events.empty()) {
-      return;
-    }
-    const auto now = Now();
-    dispatcher_.OnFirstToken(id, now);
-    if (active.begun_) {
-      active.longest_pause_ =
-          std::max(active.longest_pause_, now - active.last_event_at_);
-    }
-    active.last_event_at_ = now;
-    if (!active.begun_) {
-      active.begun_ = true;
-      active.first_event_ = now - active.item_.arrived_;
-      metrics_.Record("gateway_first_event_seconds",
-                      Label("route", active.route_->name_),
-                      active.first_event_);
-      server_.BeginStream(active.exchange_, Codec::CallerHead(*active.head_));
-      server_.Write(active.exchange_, events);
-      Pump();  // The target has read the prompt: it may have room for another.
-      return;
-    }
-    server_.Write(active.exchange_, events);
-  }
+  auto OnData(WorkId id, std::string_view data) -> void;
 
-  auto OnEnd(WorkId id) -> void {
-    const auto found = active_.find(id);
-    if (found == active_.end()) {
-      return;
-    }
-    auto& active = found->second;
-    active.attempt_.reset();
-    const auto facts = Codec::Facts(*active.head_);
-    if (facts.not_run_) {
-      OnTargetRefused(id, facts);
-      return;
-    }
-    if (IsEventStream(active)) {
-      if (active.events_.IsInsideEvent() || !active.begun_) {
-        OnBrokenOff(id, "incomplete_stream");
-        return;
-      }
-      server_.EndStream(active.exchange_);
-      dispatcher_.OnServed(id);
-      Finish(id, "served", active.head_->status_);
-      return;
-    }
-    const auto status = active.head_->status_;
-    const bool failed = status >= 500 || !facts.genuine_;
-    if (failed) {
-      dispatcher_.OnErrorResponse(id);
-      ++active.attempts_;
-      if (!active.begun_ && TryRepeat(active, "target_error")) {
-        return;
-      }
-    } else {
-      dispatcher_.OnServed(id);
-    }
-    if (active.begun_) {  // a resumed stream got something else
-      server_.AbortStream(active.exchange_);
-      Finish(id, "stream_broken_off", status);
-      return;
-    }
-    if (!facts.genuine_) {
-      // Without the target's proof the response is not passed on as one.
-      Conclude(id, RefusalReason::kTargetFailed, "unproven_response");
-      return;
-    }
-    auto response = Codec::CallerHead(*active.head_);
-    response.body_ = std::move(active.body_);
-    server_.Respond(active.exchange_, response);
-    Finish(id, failed ? "target_error_passed_on" : "served", status);
-  }
+  auto OnEnd(WorkId id) -> void;
 
-  auto OnTargetRefused(WorkId id, const ResponseFacts& facts) -> void {
-    auto& active = active_.at(id);
-    dispatcher_.OnTargetRefused(id, facts.lacks_model_, Now());
-    LogEvent(LogLevel::kInfo, "target_refused")
-        .With("id", active.facts_.id_)
-        .With("target", active.target_)
-        .With("status", active.head_->status_);
-    active.refusals_ += facts.lacks_model_ ? 0 : 1;
-    // A full target has room again soon; one without the model has not.
-    if (active.refusals_ >= AttemptPolicy::kMostRefusals ||
-        !TryAgain(active, "target_refused", /*counts=*/true,
-                  /*exclude=*/facts.lacks_model_)) {
-      Conclude(id,
-               active.may_have_run_ ? RefusalReason::kTargetFailed
-                                    : RefusalReason::kNotRun,
-               "target_refused");
-    }
-  }
+  auto OnTargetRefused(WorkId id, const ResponseFacts& facts) -> void;
 
-  auto OnFailure(WorkId id, const AttemptFailure& failure) -> void {
-    const auto found = active_.find(id);
-    if (found == active_.end()) {
-      return;
-    }
-    auto& active = found->second;
-    active.attempt_.reset();
-    const auto now = Now();
-    LogEvent(LogLevel::kWarning, "attempt_failed")
-        .With("id", active.facts_.id_)
-        .With("target", active.target_)
-        .With("step", failure.step_)
-        .With("reason", failure.reason_)
-        .With("outcome", ToString(failure.outcome_))
-        .With("after_ms", Milliseconds(now - active.sent_at_));
-    if (failure.outcome_ == Outcome::kNotRun) {
-      dispatcher_.OnTargetFailed(id, now);
-      if (!TryAgain(active, "not_sent", /*counts=*/false)) {
-        Conclude(id,
-                 active.may_have_run_ ? RefusalReason::kTargetFailed
-                                      : RefusalReason::kNotRun,
-                 "target_unreachable");
-      }
-      return;
-    }
-    OnBrokenOff(id, "target_broke_off");
-  }
+  auto OnFailure(WorkId id, const AttemptFailure& failure) -> void;
 
   /// The request may have run and its response did not come whole.
-  auto OnBrokenOff(WorkId id, const char* reason) -> void {
-    auto& active = active_.at(id);
-    active.may_have_run_ = true;
-    ++active.attempts_;
-    dispatcher_.OnTargetFailed(id, Now());
-    if (TryRepeat(active, reason)) {
-      return;
-    }
-    if (active.begun_) {
-      server_.AbortStream(active.exchange_);
-      Finish(id, "stream_broken_off", 0);
-    } else {
-      Conclude(id, RefusalReason::kTargetFailed, reason);
-    }
-  }
+  auto OnBrokenOff(WorkId id, const char* reason) -> void;
 
   /// Sends a request that may have run to another target, if that is allowed.
-  auto TryRepeat(Active& active, const char* reason) -> bool {
-    const auto& route = *active.route_;
-    return route.repeatable() && active.attempts_ < route.max_attempts_ &&
-           TryAgain(active, reason, /*counts=*/true);
-  }
+  auto TryRepeat(Active& active, const char* reason) -> bool;
 
   /// Queues the request again. `counts`: the last send reached a target and
   /// draws on the shared bound. `exclude`: not for its last target.
   auto TryAgain(Active& active, const char* reason, bool counts,
-                bool exclude = true) -> bool {
-    const auto now = Now();
-    if (!AttemptPolicy::MaySendAgain(active.sends_, active.item_.limit_at_,
-                                     now) ||
-        (counts && !retries_.TrySpend(active.item_.service_, now))) {
-      return false;
-    }
-    LogEvent(LogLevel::kInfo, "request_repeated")
-        .With("id", active.facts_.id_)
-        .With("reason", reason)
-        .With("after_event", active.events_.last())
-        .With("sends", active.sends_);
-    metrics_.Add("gateway_repeats_total", Label("reason", reason));
-    if (exclude) {
-      active.item_.excluded_.insert(active.target_);
-    }
-    active.item_.resumed_ = active.begun_;
-    const auto copy = active.item_;
-    Enqueue(copy, now);
-    return true;
-  }
+                bool exclude = true) -> bool;
 
-  auto OnCallerGone(ExchangeId exchange) -> void {
-    held_.erase(exchange);
-    const auto found = by_exchange_.find(exchange);
-    if (found == by_exchange_.end()) {
-      return;
-    }
-    const auto id = found->second;
-    auto& active = active_.at(id);
-    if (active.attempt_) {
-      active.attempt_->Cancel();
-    }
-    Finish(id, "caller_gone", 0);
-  }
+  auto OnCallerGone(ExchangeId exchange) -> void;
 
-  auto OnCallerBlocked(ExchangeId exchange, bool blocked) -> void {
-    const auto found = by_exchange_.find(exchange);
-    if (found != by_exchange_.end() && active_.at(found->second).attempt_) {
-      active_.at(found->second).attempt_->Pause(blocked);
-    }
-  }
+  auto OnCallerBlocked(ExchangeId exchange, bool blocked) -> void;
 
-  auto OnTimeLimit(WorkId id) -> void {
-    auto& active = active_.at(id);
-    const bool sent = active.attempt_ != nullptr || active.may_have_run_;
-    if (active.attempt_) {
-      active.attempt_->Cancel();
-      active.attempt_.reset();
-    }
-    if (active.begun_) {
-      server_.AbortStream(active.exchange_);
-      Finish(id, "time_limit_in_stream", 0);
-    } else if (sent) {
-      Conclude(id, RefusalReason::kTimedOut, "time_limit");
-    } else {
-      Conclude(id, RefusalReason::kNotRun, "time_limit_in_queue");
-    }
-  }
+  auto OnTimeLimit(WorkId id) -> void;
 
-  auto Reject(const Rejection& rejection) -> void {
-    const auto found = active_.find(rejection.id_);
-    if (found == active_.end()) {
-      return;
-    }
-    auto& active = found->second;
-    if (active.begun_) {
-      server_.AbortStream(active.exchange_);
-      Finish(rejection.id_, "stream_broken_off", 0);
-      return;
-    }
-    Conclude(rejection.id_,
-             active.may_have_run_ ? RefusalReason::kTargetFailed
-                                  : RefusalReason::kNotRun,
-             rejection.reason_, rejection.retry_after_);
-  }
+  auto Reject(const Rejection& rejection) -> void;
 
   /// Answers a request by this system and ends it.
   auto Conclude(WorkId id, RefusalReason reason, const std::string& detail,
-                Duration retry_after = kDefaultRetry) -> void {
-    auto& active = active_.at(id);
-    const auto response =
-        Codec::Refusal(reason, active.facts_.id_, detail, retry_after);
-    server_.Respond(active.exchange_, response);
-    Finish(id, detail, response.status_);
-  }
+                Duration retry_after = kDefaultRetry) -> void;
 
   auto Refuse(ExchangeId exchange, const std::string& id, RefusalReason reason,
-              const std::string& detail, Duration retry_after) -> void {
-    const auto response = Codec::Refusal(reason, id, detail, retry_after);
-    LogEvent(LogLevel::kInfo, "request_refused")
-        .With("id", id)
-        .With("reason", detail)
-        .With("status", response.status_)
-        .With("manifest", manifest_ ? manifest_->version_ : 0);
-    metrics_.Add("gateway_refusals_total", Label("reason", detail));
-    server_.Respond(exchange, response);
-  }
+              const std::string& detail, Duration retry_after) -> void;
 
-  auto Finish(WorkId id, const std::string& outcome, unsigned status) -> void {
-    const auto found = active_.find(id);
-    const auto& active = found->second;
-    const auto now = Now();
-    const auto total = now - active.item_.arrived_;
-    LogEvent(LogLevel::kInfo, "request_finished")
-        .With("id", active.facts_.id_)
-        .With("route", active.route_->name_)
-        .With("outcome", outcome)
-        .With("status", status)
-        .With("target", active.target_)
-        .With("sends", active.sends_)
-        .With("model", active.item_.generation_.model_)
-        .With("first_event_ms", Milliseconds(active.first_event_))
-        .With("events", active.events_.last() + 1)
-        .With("longest_pause_ms", Milliseconds(active.longest_pause_))
-        .With("total_ms", Milliseconds(total));
-    metrics_.Add("gateway_outcomes_total", Label("outcome", outcome));
-    metrics_.Record("gateway_request_seconds",
-                    Label("route", active.route_->name_), total);
-    dispatcher_.Forget(id);
-    SendWorkUpdates();
-    by_exchange_.erase(active.exchange_);
-    limits_.erase({active.item_.limit_at_, id});
-    active_.erase(found);
-    if (dispatcher_.waiting() > 0 && !pump_soon_) {
-      pump_soon_ = true;
-      timer_.expires_after(Duration::zero());
-      WaitTimer();
-    }
-  }
+  auto Finish(WorkId id, const std::string& outcome, unsigned status) -> void;
 
   auto SendWorkUpdates() -> void {
     const auto targets = dispatcher_.TakeChangedTargets();
@@ -812,3 +371,7 @@
 };
 
 }  // namespace baobab::gateway
+
+// Definitions of the members declared above.
+#include "baobab_gateway/request_gateway_admission.h"
+#include "baobab_gateway/request_gateway_attempts.h"
--- /dev/null
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -0,0 +1,245 @@
+#pragma once
+
+// RequestGateway: how requests are held, admitted, queued and refused.
+
+#include "baobab_gateway/request_gateway.h"
+
+namespace baobab::gateway {
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::RefuseNew() -> void {
+  refusing_ = true;
+  server_.StopAccepting();
+  ReleaseHeld(Now());
+  std::vector<WorkId> unsent;
+  for (const auto& [id, active] : active_) {
+    if (!active.attempt_ && !active.begun_) {
+      unsent.push_back(id);
+    }
+  }
+  for (const auto id : unsent) {
+    Conclude(id,
+             active_.at(id).may_have_run_ ? RefusalReason::kTargetFailed
+                                          : RefusalReason::kNotRun,
+             "stopping", kStoppingRetry);
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnRequest(ExchangeId exchange, HttpRequest request)
+    -> void {
+  IngressRequest facts;
+  try {
+    facts = Codec::Decode(request);
+  } catch (const StepError& error) {
+    Refuse(exchange, "", RefusalReason::kMalformed, error.what(), {});
+    return;
+  }
+  const auto now = Now();
+  if (!IsComplete() && !refusing_) {
+    Hold(exchange, std::move(request), std::move(facts), now);
+  } else {
+    Admit(exchange, std::move(request), std::move(facts), now);
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Hold(ExchangeId exchange, HttpRequest request,
+                                 IngressRequest facts, TimePoint now) -> void {
+  const auto until = now + HoldPolicy::LongestHold(facts.time_left_);
+  LogEvent(LogLevel::kInfo, "request_held")
+      .With("id", facts.id_)
+      .With("reason", "no_manifest")
+      .With("longest_ms", Milliseconds(until - now));
+  held_.emplace(exchange,
+                Held{std::move(request), std::move(facts), now, until});
+  if (held_.size() == 1) {
+    WaitForHeld();
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::WaitForHeld() -> void {
+  hold_timer_.expires_after(kHoldCheck);
+  hold_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) {
+      return;
+    }
+    ReleaseHeld(Now());
+    if (!held_.empty()) {
+      WaitForHeld();
+    }
+  });
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::ReleaseHeld(TimePoint now) -> void {
+  std::vector<ExchangeId> due;
+  for (const auto& [exchange, held] : held_) {
+    if (IsComplete() || refusing_ || held.until_ <= now) {
+      due.push_back(exchange);
+    }
+  }
+  for (const auto exchange : due) {
+    auto node = held_.extract(exchange);
+    auto& held = node.mapped();
+    if (IsComplete()) {
+      Admit(exchange, std::move(held.request_), std::move(held.facts_),
+            held.arrived_);
+    } else {
+      Refuse(exchange, held.facts_.id_, RefusalReason::kNotRun, "no_manifest",
+             store_connected_ ? kNoManifestRetry : kNoStoreRetry);
+    }
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Admit(ExchangeId exchange, HttpRequest&& request,
+                                  IngressRequest&& decoded, TimePoint arrived)
+    -> void {
+  const auto now = Now();
+  Active active;
+  active.exchange_ = exchange;
+  active.facts_ = std::move(decoded);
+  const auto& facts = active.facts_;
+  if (refusing_) {
+    Refuse(exchange, facts.id_, RefusalReason::kNotRun, "stopping",
+           kStoppingRetry);
+    return;
+  }
+  if (facts.id_.empty()) {
+    Refuse(exchange, "", RefusalReason::kMalformed, "no_request_id", {});
+    return;
+  }
+  active.route_ = routes_.Find(facts.host_, request.path_);
+  if (!active.route_) {
+    Refuse(exchange, facts.id_, RefusalReason::kNoRoute, "no_route", {});
+    return;
+  }
+  const auto& route = *active.route_;
+  active.request_ = std::move(request);
+  active.events_ = EventStream(facts.last_event_);
+  auto& item = active.item_;
+  item.id_ = ++last_id_;
+  std::uniform_real_distribution<double> draw(0, 1);
+  item.service_ = PickService(route, draw(random_));
+  if (facts.generation_) {
+    item.generation_ = *facts.generation_;
+  }
+  item.priority_ = route.priority_;
+  item.arrived_ = arrived;
+  item.objective_at_ = arrived + route.objective_;
+  item.limit_at_ =
+      arrived +
+      std::min(facts.time_left_.value_or(route.time_limit_), route.time_limit_);
+  retries_.OnRequest(item.service_, now);
+  metrics_.Add("gateway_requests_total", Label("route", route.name_));
+  const auto id = item.id_;
+  by_exchange_[exchange] = id;
+  limits_.insert({item.limit_at_, id});
+  const auto copy = item;
+  active_.emplace(id, std::move(active));
+  Enqueue(copy, now);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Enqueue(const WorkItem& item, TimePoint now)
+    -> void {
+  if (const auto rejection = dispatcher_.Submit(item, now)) {
+    Reject(*rejection);
+    return;
+  }
+  Pump();
+  const auto found = active_.find(item.id_);
+  if (found == active_.end() || found->second.attempt_) {
+    return;
+  }
+  const auto wait = dispatcher_.PredictedWait(item, now);
+  LogEvent(LogLevel::kInfo, "request_queued")
+      .With("id", found->second.facts_.id_)
+      .With("model", item.generation_.model_)
+      .With("adapter", item.generation_.adapter_)
+      .With("predicted_wait_ms", wait ? Milliseconds(*wait) : -1)
+      .With("waiting", dispatcher_.waiting())
+      .With("left_ms", Milliseconds(item.limit_at_ - now));
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Reject(const Rejection& rejection) -> void {
+  const auto found = active_.find(rejection.id_);
+  if (found == active_.end()) {
+    return;
+  }
+  auto& active = found->second;
+  if (active.begun_) {
+    server_.AbortStream(active.exchange_);
+    Finish(rejection.id_, "stream_broken_off", 0);
+    return;
+  }
+  Conclude(rejection.id_,
+           active.may_have_run_ ? RefusalReason::kTargetFailed
+                                : RefusalReason::kNotRun,
+           rejection.reason_, rejection.retry_after_);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Conclude(WorkId id, RefusalReason reason,
+                                     const std::string& detail,
+                                     Duration retry_after) -> void {
+  auto& active = active_.at(id);
+  const auto response =
+      Codec::Refusal(reason, active.facts_.id_, detail, retry_after);
+  server_.Respond(active.exchange_, response);
+  Finish(id, detail, response.status_);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Refuse(ExchangeId exchange, const std::string& id,
+                                   RefusalReason reason,
+                                   const std::string& detail,
+                                   Duration retry_after) -> void {
+  const auto response = Codec::Refusal(reason, id, detail, retry_after);
+  LogEvent(LogLevel::kInfo, "request_refused")
+      .With("id", id)
+      .With("reason", detail)
+      .With("status", response.status_)
+      .With("manifest", manifest_ ? manifest_->version_ : 0);
+  metrics_.Add("gateway_refusals_total", Label("reason", detail));
+  server_.Respond(exchange, response);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::Finish(WorkId id, const std::string& outcome,
+                                   unsigned status) -> void {
+  const auto found = active_.find(id);
+  const auto& active = found->second;
+  const auto now = Now();
+  const auto total = now - active.item_.arrived_;
+  LogEvent(LogLevel::kInfo, "request_finished")
+      .With("id", active.facts_.id_)
+      .With("route", active.route_->name_)
+      .With("outcome", outcome)
+      .With("status", status)
+      .With("target", active.target_)
+      .With("sends", active.sends_)
+      .With("model", active.item_.generation_.model_)
+      .With("first_event_ms", Milliseconds(active.first_event_))
+      .With("events", active.events_.last() + 1)
+      .With("longest_pause_ms", Milliseconds(active.longest_pause_))
+      .With("total_ms", Milliseconds(total));
+  metrics_.Add("gateway_outcomes_total", Label("outcome", outcome));
+  metrics_.Record("gateway_request_seconds",
+                  Label("route", active.route_->name_), total);
+  dispatcher_.Forget(id);
+  SendWorkUpdates();
+  by_exchange_.erase(active.exchange_);
+  limits_.erase({active.item_.limit_at_, id});
+  active_.erase(found);
+  if (dispatcher_.waiting() > 0 && !pump_soon_) {
+    pump_soon_ = true;
+    timer_.expires_after(Duration::zero());
+    WaitTimer();
+  }
+}
+
+}  // namespace baobab::gateway
--- /dev/null
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -0,0 +1,300 @@
+#pragma once
+
+// RequestGateway: the sends of a request and what comes back.
+
+#include "baobab_gateway/request_gateway.h"
+
+namespace baobab::gateway {
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::StartAttempt(const Assignment& assignment) -> void {
+  const auto found = active_.find(assignment.id_);
+  const auto* entry = registry_->Find(assignment.target_);
+  if (found == active_.end() || entry == nullptr) {
+    dispatcher_.Forget(assignment.id_);
+    return;
+  }
+  auto& active = found->second;
+  const auto now = Now();
+  ForwardOptions options;
+  options.target_id_ = assignment.target_;
+  options.endpoint_ = entry->registration_.endpoint_;
+  options.time_left_ = active.item_.limit_at_ - now;
+  options.urgency_ = active.route_->priority_;
+  if (active.begun_) {
+    options.last_event_ = active.events_.last();
+  }
+  auto request = Codec::Forward(active.request_, options);
+  request.timeouts_.connect_ = kConnectTimeout;
+  request.timeouts_.send_ = options.time_left_;
+  request.timeouts_.head_ = options.time_left_;
+  request.timeouts_.body_ = options.time_left_;
+  const auto id = assignment.id_;
+  ExchangeEvents events;
+  events.on_head_ = [this, id](const TargetResponseHead& head) {
+    OnHead(id, head);
+  };
+  events.on_data_ = [this, id](std::string_view data) { OnData(id, data); };
+  events.on_end_ = [this, id]() { OnEnd(id); };
+  events.on_failure_ = [this, id](const AttemptFailure& failure) {
+    OnFailure(id, failure);
+  };
+  active.target_ = assignment.target_;
+  active.head_.reset();
+  active.body_.clear();
+  active.events_.Restart();
+  active.sent_at_ = now;
+  ++active.sends_;
+  LogEvent(LogLevel::kInfo, "request_sent")
+      .With("id", active.facts_.id_)
+      .With("target", assignment.target_)
+      .With("attempt", active.sends_)
+      .With("waited_ms", Milliseconds(now - active.item_.arrived_))
+      .With("score_ms", Milliseconds(assignment.predicted_))
+      .With("first_token_ms", Milliseconds(assignment.first_token_))
+      .With("step_us", assignment.step_.count())
+      .With("busy_permille", assignment.busy_.busy_permille_)
+      .With("running", assignment.busy_.running_)
+      .With("left_ms", Milliseconds(options.time_left_));
+  active.attempt_ =
+      TargetExchange::Start(pool_, std::move(request), std::move(events));
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnHead(WorkId id, const TargetResponseHead& head)
+    -> void {
+  const auto found = active_.find(id);
+  if (found != active_.end()) {
+    found->second.head_ = head;
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnData(WorkId id, std::string_view data) -> void {
+  const auto found = active_.find(id);
+  if (found == active_.end()) {
+    return;
+  }
+  auto& active = found->second;
+  if (!IsEventStream(active)) {
+    active.body_ += data;
+    return;
+  }
+  const auto events = active.events_.Take(data);
+  if (events.empty()) {
+    return;
+  }
+  const auto now = Now();
+  dispatcher_.OnFirstToken(id, now);
+  if (active.begun_) {
+    active.longest_pause_ =
+        std::max(active.longest_pause_, now - active.last_event_at_);
+  }
+  active.last_event_at_ = now;
+  if (!active.begun_) {
+    active.begun_ = true;
+    active.first_event_ = now - active.item_.arrived_;
+    metrics_.Record("gateway_first_event_seconds",
+                    Label("route", active.route_->name_), active.first_event_);
+    server_.BeginStream(active.exchange_, Codec::CallerHead(*active.head_));
+    server_.Write(active.exchange_, events);
+    Pump();  // The target has read the prompt: it may have room for another.
+    return;
+  }
+  server_.Write(active.exchange_, events);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnEnd(WorkId id) -> void {
+  const auto found = active_.find(id);
+  if (found == active_.end()) {
+    return;
+  }
+  auto& active = found->second;
+  active.attempt_.reset();
+  const auto facts = Codec::Facts(*active.head_);
+  if (facts.not_run_) {
+    OnTargetRefused(id, facts);
+    return;
+  }
+  if (IsEventStream(active)) {
+    if (active.events_.IsInsideEvent() || !active.begun_) {
+      OnBrokenOff(id, "incomplete_stream");
+      return;
+    }
+    server_.EndStream(active.exchange_);
+    dispatcher_.OnServed(id);
+    Finish(id, "served", active.head_->status_);
+    return;
+  }
+  const auto status = active.head_->status_;
+  const bool failed = status >= 500 || !facts.genuine_;
+  if (failed) {
+    dispatcher_.OnErrorResponse(id);
+    ++active.attempts_;
+    if (!active.begun_ && TryRepeat(active, "target_error")) {
+      return;
+    }
+  } else {
+    dispatcher_.OnServed(id);
+  }
+  if (active.begun_) {  // a resumed stream got something else
+    server_.AbortStream(active.exchange_);
+    Finish(id, "stream_broken_off", status);
+    return;
+  }
+  if (!facts.genuine_) {
+    // Without the target's proof the response is not passed on as one.
+    Conclude(id, RefusalReason::kTargetFailed, "unproven_response");
+    return;
+  }
+  auto response = Codec::CallerHead(*active.head_);
+  response.body_ = std::move(active.body_);
+  server_.Respond(active.exchange_, response);
+  Finish(id, failed ? "target_error_passed_on" : "served", status);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnTargetRefused(WorkId id,
+                                            const ResponseFacts& facts)
+    -> void {
+  auto& active = active_.at(id);
+  dispatcher_.OnTargetRefused(id, facts.lacks_model_, Now());
+  LogEvent(LogLevel::kInfo, "target_refused")
+      .With("id", active.facts_.id_)
+      .With("target", active.target_)
+      .With("status", active.head_->status_);
+  active.refusals_ += facts.lacks_model_ ? 0 : 1;
+  // A full target has room again soon; one without the model has not.
+  if (active.refusals_ >= AttemptPolicy::kMostRefusals ||
+      !TryAgain(active, "target_refused", /*counts=*/true,
+                /*exclude=*/facts.lacks_model_)) {
+    Conclude(id,
+             active.may_have_run_ ? RefusalReason::kTargetFailed
+                                  : RefusalReason::kNotRun,
+             "target_refused");
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnFailure(WorkId id, const AttemptFailure& failure)
+    -> void {
+  const auto found = active_.find(id);
+  if (found == active_.end()) {
+    return;
+  }
+  auto& active = found->second;
+  active.attempt_.reset();
+  const auto now = Now();
+  LogEvent(LogLevel::kWarning, "attempt_failed")
+      .With("id", active.facts_.id_)
+      .With("target", active.target_)
+      .With("step", failure.step_)
+      .With("reason", failure.reason_)
+      .With("outcome", ToString(failure.outcome_))
+      .With("after_ms", Milliseconds(now - active.sent_at_));
+  if (failure.outcome_ == Outcome::kNotRun) {
+    dispatcher_.OnTargetFailed(id, now);
+    if (!TryAgain(active, "not_sent", /*counts=*/false)) {
+      Conclude(id,
+               active.may_have_run_ ? RefusalReason::kTargetFailed
+                                    : RefusalReason::kNotRun,
+               "target_unreachable");
+    }
+    return;
+  }
+  OnBrokenOff(id, "target_broke_off");
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnBrokenOff(WorkId id, const char* reason) -> void {
+  auto& active = active_.at(id);
+  active.may_have_run_ = true;
+  ++active.attempts_;
+  dispatcher_.OnTargetFailed(id, Now());
+  if (TryRepeat(active, reason)) {
+    return;
+  }
+  if (active.begun_) {
+    server_.AbortStream(active.exchange_);
+    Finish(id, "stream_broken_off", 0);
+  } else {
+    Conclude(id, RefusalReason::kTargetFailed, reason);
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::TryRepeat(Active& active, const char* reason)
+    -> bool {
+  const auto& route = *active.route_;
+  return route.repeatable() && active.attempts_ < route.max_attempts_ &&
+         TryAgain(active, reason, /*counts=*/true);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::TryAgain(Active& active, const char* reason,
+                                     bool counts, bool exclude) -> bool {
+  const auto now = Now();
+  if (!AttemptPolicy::MaySendAgain(active.sends_, active.item_.limit_at_,
+                                   now) ||
+      (counts && !retries_.TrySpend(active.item_.service_, now))) {
+    return false;
+  }
+  LogEvent(LogLevel::kInfo, "request_repeated")
+      .With("id", active.facts_.id_)
+      .With("reason", reason)
+      .With("after_event", active.events_.last())
+      .With("sends", active.sends_);
+  metrics_.Add("gateway_repeats_total", Label("reason", reason));
+  if (exclude) {
+    active.item_.excluded_.insert(active.target_);
+  }
+  active.item_.resumed_ = active.begun_;
+  const auto copy = active.item_;
+  Enqueue(copy, now);
+  return true;
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnCallerGone(ExchangeId exchange) -> void {
+  held_.erase(exchange);
+  const auto found = by_exchange_.find(exchange);
+  if (found == by_exchange_.end()) {
+    return;
+  }
+  const auto id = found->second;
+  auto& active = active_.at(id);
+  if (active.attempt_) {
+    active.attempt_->Cancel();
+  }
+  Finish(id, "caller_gone", 0);
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnCallerBlocked(ExchangeId exchange, bool blocked)
+    -> void {
+  const auto found = by_exchange_.find(exchange);
+  if (found != by_exchange_.end() && active_.at(found->second).attempt_) {
+    active_.at(found->second).attempt_->Pause(blocked);
+  }
+}
+
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnTimeLimit(WorkId id) -> void {
+  auto& active = active_.at(id);
+  const bool sent = active.attempt_ != nullptr || active.may_have_run_;
+  if (active.attempt_) {
+    active.attempt_->Cancel();
+    active.attempt_.reset();
+  }
+  if (active.begun_) {
+    server_.AbortStream(active.exchange_);
+    Finish(id, "time_limit_in_stream", 0);
+  } else if (sent) {
+    Conclude(id, RefusalReason::kTimedOut, "time_limit");
+  } else {
+    Conclude(id, RefusalReason::kNotRun, "time_limit_in_queue");
+  }
+}
+
+}  // namespace baobab::gateway
--- a/modules/baobab_gateway/work_item.h
+++ b/modules/baobab_gateway/work_item.h
@@ -29,8 +29,8 @@
   std::vector<PromptPart> parts_;      ///< In order; the last one is its own.
 };
 
-/// Returns the number of output tokens to reserve memory for: twice the estimate
-/// of the caller, which is right at the median but often far off.
+/// Returns the number of output tokens to reserve memory for: twice the
+/// estimate of the caller, which is right at the median but often far off.
 [[nodiscard]] inline auto ExpectedOutput(const Generation& generation)
     -> std::uint32_t {
   if (generation.output_expected_ == 0) {
