--- a/modules/baobab_gateway/dispatch_replay_test.cc
+++ b/modules/baobab_gateway/dispatch_replay_test.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -11,7 +10,7 @@
 
 #include "baobab_base/random_source.h"
 #include "baobab_gateway/dispatcher.h"
-#include "baobab_gateway/simulated_batch.h"
+#include "baobab_gateway/simulated_fleet.h"
 #include "baobab_gateway/test_fleet.h"
 
 namespace baobab::gateway {
@@ -21,7 +20,7 @@
 using std::chrono::seconds;
 using test::MakeRegistry;
 using test::MakeTestManifest;
-using test::SimulatedBatch;
+using test::SimulatedFleet;
 
 /// A load pattern: long prompts with short responses and short prompts with
 /// long responses, as the sites' sheets describe them.
@@ -57,65 +56,57 @@
  public:
   Replay(std::size_t instances, std::size_t engines, DispatchSettings settings,
          std::uint64_t seed)
-      : registry_(MakeRegistry(engines, {"m0"})), random_(seed) {
+      : fleet_(MakeRegistry(engines, {"m0"}), TimePoint{} + seconds(100),
+               [this](const SimulatedFleet::Outcome& outcome) {
+                 result_.rejected_ += outcome.rejected_ ? 1 : 0;
+                 result_.ended_ += outcome.ended_in_time_ ? 1 : 0;
+                 result_.on_time_ +=
+                     outcome.ended_in_time_ && outcome.first_on_time_ ? 1 : 0;
+               }),
+        random_(seed) {
     for (std::size_t i = 0; i < instances; ++i) {
-      dispatchers_.push_back(std::make_unique<Dispatcher>(settings, "z"));
-      dispatchers_.back()->SetManifest(MakeTestManifest({"m0"}));
-      dispatchers_.back()->SetTargets(registry_, now_);
-    }
-    for (std::size_t i = 0; i < engines; ++i) {
-      engines_.emplace(
-          "t" + std::to_string(i),
-          SimulatedBatch({[this](WorkId id, TimePoint at) { OnFirst(id, at); },
-                          [this](WorkId id, TimePoint at) { OnEnd(id, at); }}));
+      fleet_.AddInstance(std::make_unique<Dispatcher>(settings, "z"),
+                         MakeTestManifest({"m0"}));
     }
   }
 
   auto Run(const Load& load) -> Result {
     constexpr auto kTick = milliseconds(2);
-    const auto start = now_;
+    const auto start = fleet_.now();
     std::uniform_real_distribution<double> unit(0, 1);
-    for (int tick = 0; now_ < start + seconds(25); ++tick, now_ += kTick) {
-      const auto elapsed = now_ - start;
+    int tick = 0;
+    for (auto now = start; now < start + seconds(25); now += kTick, ++tick) {
+      const auto elapsed = now - start;
       if (elapsed < seconds(10)) {
         const bool burst = elapsed >= seconds(4) && elapsed < seconds(7);
         const auto factor = (burst ? load.burst_ : 1.0) * 0.002;
         if (unit(random_) < load.long_prompts_per_second_ * factor) {
-          Arrive(/*long_prompt=*/true);
+          Arrive(/*long_prompt=*/true, now);
         }
         if (unit(random_) < load.long_responses_per_second_ * factor) {
-          Arrive(/*long_prompt=*/false);
+          Arrive(/*long_prompt=*/false, now);
         }
       }
-      for (auto& [id, engine] : engines_) {
-        engine.Advance(now_);
-      }
+      fleet_.Advance(now);
       if (tick % 50 == 0) {
         Exchange();
       }
       if (tick % 8 == 0) {
-        Dispatch();
+        fleet_.Dispatch();
       }
-      ExpireLimits();
+      fleet_.ExpireLimits();
     }
     return result_;
   }
 
  private:
-  struct Request {
-    std::size_t instance_ = 0;
-    WorkItem item_;
-    std::uint32_t tokens_ = 0;
-    std::string target_;
-    bool first_on_time_ = false;
-  };
-
-  auto Arrive(bool long_prompt) -> void {
-    Request request;
-    request.instance_ = random_() % dispatchers_.size();
-    auto& item = request.item_;
+  auto Arrive(bool long_prompt, TimePoint now) -> void {
+    const auto instance = random_() % fleet_.instances();
+    WorkItem item;
+    std::uint32_t tokens = 52;
     item.id_ = ++last_id_;
     item.service_ = "engines";
+    item.arrived_ = now;
     std::lognormal_distribution<double> size(0, 0.8);
     if (long_prompt) {
       const auto own = static_cast<std::uint32_t>(2000 * size(random_));
@@ -127,99 +118,34 @@
                           {{1 + random_() % 3, 2520},
                            {10 + random_() % 50, 3780},
                            {1000 + last_id_, own}}};
-      item.objective_at_ = now_ + seconds(1);
-      item.limit_at_ = now_ + seconds(5);
+      item.objective_at_ = now + seconds(1);
+      item.limit_at_ = now + seconds(5);
       item.priority_ = 1;
-      request.tokens_ = 52;
     } else {
       const auto own = static_cast<std::uint32_t>(450 * size(random_));
-      const auto tokens = std::max(
+      tokens = std::max(
           20U, std::min(950U, static_cast<std::uint32_t>(210 * size(random_))));
       item.generation_ = {
           "m0",   "", 200 + own,
           tokens, 0,  {{5 + random_() % 3, 200}, {1000 + last_id_, own}}};
-      item.objective_at_ = now_ + seconds(2);
-      item.limit_at_ = now_ + seconds(15);
-      request.tokens_ = tokens;
+      item.objective_at_ = now + seconds(2);
+      item.limit_at_ = now + seconds(15);
     }
-    item.arrived_ = now_;
     ++result_.requests_;
-    const auto id = item.id_;
-    if (dispatchers_[request.instance_]->Submit(item, now_)) {
-      ++result_.rejected_;
-      return;
-    }
-    requests_[id] = std::move(request);
+    fleet_.Submit(instance, item, tokens);
   }
 
   auto Exchange() -> void {
-    for (std::size_t from = 0; from < dispatchers_.size(); ++from) {
-      for (std::size_t to = 0; to < dispatchers_.size(); ++to) {
-        if (from != to) {
-          dispatchers_[to]->OnPeerWork("i" + std::to_string(from),
-                                       dispatchers_[from]->OwnWork(now_), now_);
-        }
-      }
-    }
-  }
-
-  auto Dispatch() -> void {
-    for (auto& dispatcher : dispatchers_) {
-      for (const auto& rejection : dispatcher->RejectHopeless(now_)) {
-        ++result_.rejected_;
-        requests_.erase(rejection.id_);
-      }
-      for (const auto& assignment : dispatcher->Assign(now_)) {
-        auto& request = requests_.at(assignment.id_);
-        request.target_ = assignment.target_;
-        engines_.at(assignment.target_)
-            .Start(assignment.id_, request.item_.generation_, request.tokens_,
-                   now_);
-      }
-    }
-  }
-
-  auto OnFirst(WorkId id, TimePoint at) -> void {
-    const auto found = requests_.find(id);
-    if (found != requests_.end()) {
-      dispatchers_[found->second.instance_]->OnFirstToken(id, at);
-      found->second.first_on_time_ = at <= found->second.item_.objective_at_;
-    }
-  }
-
-  auto OnEnd(WorkId id, TimePoint at) -> void {
-    const auto found = requests_.find(id);
-    if (found == requests_.end()) {
-      return;
-    }
-    dispatchers_[found->second.instance_]->OnServed(id);
-    if (at <= found->second.item_.limit_at_) {
-      ++result_.ended_;
-      result_.on_time_ += found->second.first_on_time_ ? 1 : 0;
-    }
-    requests_.erase(found);
-  }
-
-  auto ExpireLimits() -> void {
-    for (auto entry = requests_.begin(); entry != requests_.end();) {
-      if (entry->second.item_.limit_at_ > now_) {
-        ++entry;
-        continue;
-      }
-      dispatchers_[entry->second.instance_]->Forget(entry->first);
-      if (!entry->second.target_.empty()) {
-        engines_.at(entry->second.target_).Cancel(entry->first);
-      }
-      entry = requests_.erase(entry);
+    for (std::size_t from = 0; from < fleet_.instances(); ++from) {
+      const auto work = fleet_.instance(from).OwnWork(fleet_.now());
+      fleet_.ForEachPeer(from, [&](Dispatcher& peer) {
+        peer.OnPeerWork("i" + std::to_string(from), work, fleet_.now());
+      });
     }
   }
 
-  TargetRegistry registry_;
+  SimulatedFleet fleet_;
   Random random_;
-  TimePoint now_ = TimePoint{} + seconds(100);
-  std::vector<std::unique_ptr<Dispatcher>> dispatchers_;
-  std::map<std::string, SimulatedBatch> engines_;
-  std::map<WorkId, Request> requests_;
   Result result_;
   WorkId last_id_ = 0;
 };
--- /dev/null
+++ b/modules/baobab_gateway/simulated_fleet.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "baobab_base/time_types.h"
+#include "baobab_gateway/dispatcher.h"
+#include "baobab_gateway/simulated_batch.h"
+#include "baobab_gateway/target_registry.h"
+
+namespace baobab::gateway::test {
+
+/// Instances that dispatch requests to shared engines, for replays of load. The
+/// test makes the load, passes time and exchanges what instances tell each
+/// other; this class carries out what the dispatchers decide.
+class SimulatedFleet {
+ public:
+  /// How a request ended.
+  struct Outcome {
+    bool rejected_ = false;       ///< By its instance, without being sent.
+    bool ended_in_time_ = false;  ///< Whole within its time limit.
+    bool first_on_time_ = false;  ///< First token within its objective.
+    Duration longest_pause_{};    ///< Between two events.
+  };
+
+  /// Has an engine for each entry of `registry`. `on_outcome` hears of each
+  /// request once.
+  SimulatedFleet(TargetRegistry registry, TimePoint start,
+                 std::function<void(const Outcome&)> on_outcome)
+      : registry_(std::move(registry)),
+        now_(start),
+        on_outcome_(std::move(on_outcome)) {
+    for (const auto& [id, entry] : registry_.entries()) {
+      engines_.emplace(
+          id, SimulatedBatch(
+                  {[this](WorkId work, TimePoint at) { OnFirst(work, at); },
+                   [this](WorkId work, TimePoint at) { OnEnd(work, at); },
+                   [this](WorkId work, Duration pause) {
+                     if (const auto found = requests_.find(work);
+                         found != requests_.end()) {
+                       found->second.outcome_.longest_pause_ = pause;
+                     }
+                   }}));
+    }
+  }
+  SimulatedFleet(const SimulatedFleet&) = delete;
+  auto operator=(const SimulatedFleet&) -> SimulatedFleet& = delete;
+  SimulatedFleet(SimulatedFleet&&) = delete;
+  auto operator=(SimulatedFleet&&) -> SimulatedFleet& = delete;
+  ~SimulatedFleet() = default;
+
+  auto AddInstance(std::unique_ptr<Dispatcher> dispatcher,
+                   const Manifest& manifest) -> void {
+    dispatcher->SetManifest(manifest);
+    dispatcher->SetTargets(registry_, now_);
+    dispatchers_.push_back(std::move(dispatcher));
+  }
+
+  /// A request that will produce `tokens` arrives at an instance.
+  auto Submit(std::size_t instance, const WorkItem& item, std::uint32_t tokens)
+      -> void {
+    if (dispatchers_[instance]->Submit(item, now_)) {
+      on_outcome_({.rejected_ = true});
+      return;
+    }
+    requests_[item.id_] = {instance, item, tokens, "", {}};
+  }
+
+  /// Lets engines work up to `now`.
+  auto Advance(TimePoint now) -> void {
+    now_ = now;
+    for (auto& [id, engine] : engines_) {
+      engine.Advance(now_);
+    }
+  }
+
+  /// Sends what the instances decide to send.
+  auto Dispatch() -> void {
+    for (auto& dispatcher : dispatchers_) {
+      for (const auto& rejection : dispatcher->RejectHopeless(now_)) {
+        on_outcome_({.rejected_ = true});
+        requests_.erase(rejection.id_);
+      }
+      for (const auto& assignment : dispatcher->Assign(now_)) {
+        auto& request = requests_.at(assignment.id_);
+        request.target_ = assignment.target_;
+        engines_.at(assignment.target_)
+            .Start(assignment.id_, request.item_.generation_, request.tokens_,
+                   now_);
+      }
+    }
+  }
+
+  /// Ends the requests whose time is over.
+  auto ExpireLimits() -> void {
+    for (auto entry = requests_.begin(); entry != requests_.end();) {
+      const auto& request = entry->second;
+      if (request.item_.limit_at_ > now_) {
+        ++entry;
+        continue;
+      }
+      dispatchers_[request.instance_]->Forget(entry->first);
+      if (!request.target_.empty()) {
+        engines_.at(request.target_).Cancel(entry->first);
+      }
+      on_outcome_(request.outcome_);
+      entry = requests_.erase(entry);
+    }
+  }
+
+  /// Calls `action` for each instance but `own`.
+  template <class Action>
+  auto ForEachPeer(std::size_t own, Action action) -> void {
+    for (std::size_t i = 0; i < dispatchers_.size(); ++i) {
+      if (i != own) {
+        action(*dispatchers_[i]);
+      }
+    }
+  }
+
+  [[nodiscard]] auto instance(std::size_t index) -> Dispatcher& {
+    return *dispatchers_[index];
+  }
+  [[nodiscard]] auto instances() const -> std::size_t {
+    return dispatchers_.size();
+  }
+  [[nodiscard]] auto now() const -> TimePoint { return now_; }
+
+ private:
+  struct Request {
+    std::size_t instance_ = 0;
+    WorkItem item_;
+    std::uint32_t tokens_ = 0;
+    std::string target_;
+    Outcome outcome_;
+  };
+
+  auto OnFirst(WorkId id, TimePoint at) -> void {
+    const auto found = requests_.find(id);
+    if (found != requests_.end()) {
+      dispatchers_[found->second.instance_]->OnFirstToken(id, at);
+      found->second.outcome_.first_on_time_ =
+          at <= found->second.item_.objective_at_;
+    }
+  }
+
+  auto OnEnd(WorkId id, TimePoint at) -> void {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+      return;
+    }
+    auto& request = found->second;
+    dispatchers_[request.instance_]->OnServed(id);
+    request.outcome_.ended_in_time_ = at <= request.item_.limit_at_;
+    on_outcome_(request.outcome_);
+    requests_.erase(found);
+  }
+
+  TargetRegistry registry_;
+  TimePoint now_;
+  std::function<void(const Outcome&)> on_outcome_;
+  std::vector<std::unique_ptr<Dispatcher>> dispatchers_;
+  std::map<std::string, SimulatedBatch> engines_;
+  std::map<WorkId, Request> requests_;
+};
+
+}  // namespace baobab::gateway::test
