Tell those who wait for an adapter, keep an engine free for adapter orders, repeat failed ones

Cause, from logs: the report after an adapter order left before the adapter counted as usable (10 ms against 14), so that who waited heard of it in the next report, 0.6 s later; and a need that a target met already was not told at all. Engines that load a model refuse adapter orders for 4 s; a failed order was repeated only when the need was reported again.

Change: AdapterRequesters; no order for a model at the last free engine of a model whose adapters are in use; adapter orders are given up after 200 ms and go to another engine at once. The margin between holders covers the time of a call (300 to 700 ms).

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "baobab_gateway/dispatcher.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -364,20 +365,13 @@
 
 auto Dispatcher::AdapterNeeds() const -> std::vector<AdapterNeed> {
   std::vector<AdapterNeed> needs;
+  // Many requests wait for the same adapter: each is looked for once.
+  std::set<std::pair<std::string, std::string>> held;
   for (const auto& [id, waiting] : queue_) {
     const auto& item = waiting.item_;
     const auto& generation = item.generation_;
-    if (generation.adapter_.empty()) {
-      continue;
-    }
-    const bool held = std::any_of(
-        targets_.begin(), targets_.end(), [this, &item](const auto& entry) {
-          return entry.second.registered_ &&
-                 !entry.second.registration_.leaving_ &&
-                 entry.second.registration_.service_ == item.service_ &&
-                 Holds(entry.second, item);
-        });
-    if (held) {
+    const std::pair adapter(generation.model_, generation.adapter_);
+    if (generation.adapter_.empty() || held.count(adapter) > 0) {
       continue;
     }
     const auto known = std::find_if(
@@ -387,6 +381,8 @@
         });
     if (known != needs.end()) {
       ++known->waiting_;
+    } else if (IsHeld(item)) {
+      held.insert(adapter);
     } else {
       needs.push_back(
           {item.service_, generation.model_, generation.adapter_, 1});
@@ -395,6 +391,16 @@
   return needs;
 }
 
+auto Dispatcher::IsHeld(const WorkItem& item) const -> bool {
+  return std::any_of(
+      targets_.begin(), targets_.end(), [this, &item](const auto& entry) {
+        const auto& target = entry.second;
+        return target.registered_ && !target.registration_.leaving_ &&
+               target.registration_.service_ == item.service_ &&
+               Holds(target, item);
+      });
+}
+
 auto Dispatcher::Demand(TimePoint now) -> std::map<std::string, double> {
   auto demand = demand_.Rates(now);
   for (auto& [model, rate] : demand) {
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -257,6 +257,8 @@
                  std::vector<Candidate>& candidates) const -> void;
   [[nodiscard]] auto Holds(const Target& target, const WorkItem& item) const
       -> bool;
+  /// Returns true if any target that takes work holds what the item needs.
+  [[nodiscard]] auto IsHeld(const WorkItem& item) const -> bool;
   [[nodiscard]] auto HasRoom(const Target& target, const TargetWork& busy,
                              const WorkItem& item, TimePoint now) const -> bool;
   [[nodiscard]] auto WorkAt(const std::string& target, TimePoint now) const
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -21,6 +21,7 @@
 
 #include "baobab_base/log.h"
 #include "baobab_base/metrics_registry.h"
+#include "baobab_gateway/adapter_requesters.h"
 #include "baobab_gateway/instance_directory.h"
 #include "baobab_gateway/instance_settings.h"
 #include "baobab_gateway/order_holder.h"
@@ -47,6 +48,9 @@
   static constexpr Duration kReportPerPeer = std::chrono::milliseconds(6);
   /// Shortest time between two reports outside the interval.
   static constexpr Duration kUrgentInterval = std::chrono::milliseconds(10);
+  /// Time after an order was answered in which an adapter becomes usable: 14 ms
+  /// (PlannerSettings). A report before that does not name it.
+  static constexpr Duration kAfterOrder = std::chrono::milliseconds(16);
   /// Shortest time between two reports to all instances.
   static constexpr Duration kBroadcastInterval = std::chrono::milliseconds(100);
   /// Lease of the own registration, and the interval of its renewal.
@@ -87,10 +91,10 @@
         holder_(io, store_, kHolderKey, settings_.instance_,
                 Mark(settings_.instance_, incarnation_), settings_.order_turn_,
                 Planner(settings_), gateway_.pool(), metrics_,
-                {[this](const EngineOrder& order) { OnOrdered(order); },
+                {[this] { ReportSoon(kAfterOrder); },
                  [this] {
                    urgent_to_all_ = true;
-                   ReportSoon();
+                   ReportSoon(kUrgentInterval);
                  }}),
         peers_(io, settings_.address_, settings_.peer_port_,
                {[this](const PeerReport& report) { OnPeer(report); },
@@ -203,7 +207,7 @@
     if (sync_.is_reader() && sync_.important_revision() > announced_revision_) {
       announced_revision_ = sync_.important_revision();
       urgent_to_all_ = true;
-      ReportSoon();
+      ReportSoon(kUrgentInterval);
     }
     if (sync_.is_complete()) {
       holder_.Start();
@@ -244,15 +248,10 @@
   /// Requests wait for an adapter that no target holds: tells the holder.
   auto OnNeeds() -> void;
 
-  /// The holder of orders has the answer to `order`: tells the instances whose
-  /// requests wait for it. The others hear of it in the next report. Telling
-  /// all of them at once took more than the 10 Mbit/s of a small instance.
-  auto OnOrdered(const EngineOrder& order) -> void;
-
-  /// Reports before the next interval: needs to the holder, or, as the holder,
-  /// changes of what targets hold: adapters to the instances in `urgent_to_`,
-  /// models to all.
-  auto ReportSoon() -> void;
+  /// Reports after `delay`: needs to the holder, or, as the holder, changes of
+  /// what targets hold: adapters to the instances that wait for them, models to
+  /// all.
+  auto ReportSoon(Duration delay) -> void;
 
   auto Report() -> void;
 
@@ -267,7 +266,8 @@
   /// Returns what every peer hears of this instance.
   [[nodiscard]] auto MakeReport(TimePoint now) -> PeerReport;
 
-  /// `urgent`: only to the holder of orders and the instances in `urgent_to_`.
+  /// `urgent`: only to the holder of orders and the instances that wait for
+  /// what has changed.
   auto SendReport(bool urgent = false) -> void;
 
   auto Register() -> void;
@@ -287,8 +287,6 @@
 
   /// Longest usual time of a report on its way, with the sender's delays.
   static constexpr Duration kReportTravel = std::chrono::milliseconds(150);
-  /// A request that waits for an adapter is reported again within this time.
-  static constexpr Duration kNeedReported = std::chrono::seconds(2);
   /// Age up to which changes are repeated in reports.
   static constexpr Duration kChangeTime = std::chrono::seconds(2);
 
@@ -318,16 +316,12 @@
   bool stopping_ = false;
   bool refusing_ = false;
   bool urgent_pending_ = false;
+  bool urgent_again_ = false;  // asked for while one was pending
   bool urgent_to_all_ = false;
   std::int64_t announced_revision_ =
-      0;                     // important revision of the last such report
-  TimePoint reported_at_{};  // to all instances
-  std::set<std::string> urgent_to_;  // addresses of instances
-  /// Instances whose requests wait for an adapter, by model and adapter, and
-  /// when they last said so. Kept by the holder of orders.
-  std::map<std::pair<std::string, std::string>,
-           std::map<std::string, TimePoint>>
-      requesters_;
+      0;                          // important revision of the last such report
+  TimePoint reported_at_{};       // to all instances
+  AdapterRequesters requesters_;  // kept by the holder of orders
 };
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -34,9 +34,11 @@
   }
   if (!report.needs_.empty() && holder_.fencing_token() != 0) {
     for (const auto& need : report.needs_) {
-      requesters_[{need.model_, need.adapter_}][report.address_] = now;
+      requesters_.OnNeed(need.model_, need.adapter_, report.address_, now);
     }
     holder_.Pump();
+    // A target may hold it already.
+    ReportSoon(kUrgentInterval);
   }
   if (!report.changes_.empty() && dispatcher.waiting() > 0) {
     gateway_.Pump();
@@ -87,40 +89,28 @@
   }
   last_needs_ = std::move(needs);
   if (!last_needs_.empty()) {
-    ReportSoon();
+    ReportSoon(kUrgentInterval);
   }
 }
 
 template <class Platform>
-auto EntryInstance<Platform>::OnOrdered(const EngineOrder& order) -> void {
-  const auto now = Now();
-  const auto asked = requesters_.find({order.model_, order.adapter_});
-  if (asked != requesters_.end()) {
-    for (const auto& [address, at] : asked->second) {
-      if (now - at <= kNeedReported) {
-        urgent_to_.insert(address);
-      }
-    }
-    requesters_.erase(asked);
-  }
-  if (!urgent_to_.empty()) {
-    ReportSoon();
-  }
-}
-
-template <class Platform>
-auto EntryInstance<Platform>::ReportSoon() -> void {
+auto EntryInstance<Platform>::ReportSoon(Duration delay) -> void {
   if (urgent_pending_) {
+    urgent_again_ = true;
     return;
   }
   urgent_pending_ = true;
-  urgent_timer_.expires_after(kUrgentInterval);
+  urgent_timer_.expires_after(delay);
   urgent_timer_.async_wait([this](boost::system::error_code error) {
     urgent_pending_ = false;
-    if (!error) {
-      const bool to_all =
-          urgent_to_all_ && Now() - reported_at_ >= kBroadcastInterval;
-      SendReport(/*urgent=*/!to_all);
+    if (error) {
+      return;
+    }
+    const bool to_all =
+        urgent_to_all_ && Now() - reported_at_ >= kBroadcastInterval;
+    SendReport(/*urgent=*/!to_all);
+    if (std::exchange(urgent_again_, false)) {
+      ReportSoon(kAfterOrder);
     }
   });
 }
@@ -154,6 +144,9 @@
   }
   holder_.SetStrongerPeer(
       directory_.HasStronger(settings_.processor_permille_, now));
+  if (holder_.fencing_token() == 0) {
+    requesters_.Clear();
+  }
   sync_.SetReader(holder_.fencing_token() != 0 ||
                   directory_.IsReader(settings_.instance_,
                                       settings_.processor_permille_, now));
@@ -193,8 +186,10 @@
   auto demand = dispatcher.Demand(now);
   auto needs = dispatcher.AdapterNeeds();
   auto uses = dispatcher.TakeAdapterUses();
+  std::set<std::string> waiting;  // addresses of instances
   if (report.fencing_token_ != 0) {
     report.changes_ = holder_.planner().ChangesSince(now - kChangeTime, now);
+    waiting = requesters_.Take(report.changes_, now);
     for (const auto& change : report.changes_) {
       ApplyChange(change);
     }
@@ -213,11 +208,10 @@
         text_for_holder = EncodePeerReport(report);
       }
       peers_.Send(instance.address_, text_for_holder);
-    } else if (!urgent || urgent_to_.count(instance.address_) > 0) {
+    } else if (!urgent || waiting.count(instance.address_) > 0) {
       peers_.Send(instance.address_, text);
     }
   }
-  urgent_to_.clear();
   if (!urgent) {
     urgent_to_all_ = false;
     reported_at_ = now;
--- a/modules/baobab_gateway/fleet_replay_test.cc
+++ b/modules/baobab_gateway/fleet_replay_test.cc
@@ -50,15 +50,11 @@
 auto MakeEngines(std::size_t engines, std::size_t models) -> TargetRegistry {
   TargetRegistry registry;
   for (std::size_t i = 0; i < engines; ++i) {
-    TargetRegistration registration;
-    registration.id_ = "t" + std::to_string(i);
-    registration.service_ = "engines";
-    registration.zone_ = "z";
-    registration.slots_ = 64;
+    std::vector<std::string> held;
     for (const auto model : {i % models, (i * 5 + 3) % 4, 4 + i % 8}) {
-      registration.models_.push_back({"m" + std::to_string(model), {}});
+      held.push_back("m" + std::to_string(model));
     }
-    registry.Put(registration, static_cast<std::int64_t>(i) + 1);
+    registry.Put(test::MakeEngine(i, held), static_cast<std::int64_t>(i) + 1);
   }
   return registry;
 }
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -38,6 +38,10 @@
   static constexpr Duration kTick = std::chrono::milliseconds(50);
   /// Time limit of a call to an engine.
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(600);
+  /// Time limit of an order for an adapter, which engines answer at once: the
+  /// sooner it is given up, the sooner another engine gets it.
+  static constexpr Duration kAdapterCallTimeout =
+      std::chrono::milliseconds(200);
   /// Largest report of an engine that is read.
   static constexpr std::size_t kLargestReport = std::size_t{1} << 20;
   /// Instances that see the right become free compete after a random time up
@@ -60,13 +64,15 @@
   /// How long after its return the store counts as having been away.
   static constexpr Duration kAfterOutage = std::chrono::seconds(3);
 
-  /// Margin on the time between the orders of two holders.
-  static constexpr Duration kTurnMargin = std::chrono::milliseconds(300);
+  /// Margin on the time between the orders of two holders: an order may reach
+  /// its target as late as its call is given up.
+  static constexpr Duration kTurnMargin =
+      kCallTimeout + std::chrono::milliseconds(100);
 
   /// What its owner hears of.
   struct Handlers {
     /// An order was answered or given up.
-    std::function<void(const EngineOrder&)> on_answer_;
+    std::function<void()> on_answer_;
     /// What targets hold of models has changed or is about to.
     std::function<void()> on_holdings_;
   };
@@ -419,7 +425,7 @@
     order.holder_ = instance_;
     order.fencing_token_ = lease_.fencing_token();
     auto request = Calls::Encode(order);
-    Limit(request);
+    Limit(request, order.adapter_.empty() ? kCallTimeout : kAdapterCallTimeout);
     metrics_.Add(
         "gateway_orders_total",
         Label("kind", order.kind_ == OrderKind::kLoad ? "load" : "unload"));
@@ -433,7 +439,7 @@
           .With("fence", order.fencing_token_)
           .With("status", status);
       planner_.OnOrderResult(order, result, Now());
-      handlers_.on_answer_(order);
+      handlers_.on_answer_();
     };
     StartWholeExchange(pool_, std::move(request), kLargestReport,
                        {[finish](const TargetResponse& response) {
@@ -456,7 +462,7 @@
       return;
     }
     auto request = Calls::ReportRequest(target, entry->registration_.endpoint_);
-    Limit(request);
+    Limit(request, kCallTimeout);
     StartWholeExchange(
         pool_, std::move(request), kLargestReport,
         {[this, target](const TargetResponse& response) {
@@ -483,9 +489,8 @@
          }});
   }
 
-  static auto Limit(TargetRequest& request) -> void {
-    request.timeouts_ = {kCallTimeout, kCallTimeout, kCallTimeout,
-                         kCallTimeout};
+  static auto Limit(TargetRequest& request, Duration time) -> void {
+    request.timeouts_ = {time, time, time, time};
   }
 
   Store& store_;
--- a/modules/baobab_gateway/order_planner.cc
+++ b/modules/baobab_gateway/order_planner.cc
@@ -138,8 +138,10 @@
   demand_by_instance_[instance] = {demand, now};
   for (const auto& need : needs) {
     needs_[{need.model_, need.adapter_}] = {need, now};
+    adapters_used_[need.model_] = now;
   }
   for (const auto& use : uses) {
+    adapters_used_[use.model_] = now;
     const auto server = servers_.find(use.target_);
     if (server != servers_.end()) {
       server->second.used_[{use.model_, use.adapter_}] = now;
@@ -251,6 +253,13 @@
       server.known_ = false;
       server.next_report_ = now + settings_.report_interval_;
       server.used_[{order.model_, order.adapter_}] = now;
+      if (order.kind_ == OrderKind::kLoad) {
+        // Who needs it reports again only after a while: another engine may
+        // get the order at once.
+        needs_[{order.model_, order.adapter_}] = {
+            {server.registration_.service_, order.model_, order.adapter_, 1},
+            now};
+      }
     }
     return;
   }
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -71,6 +71,9 @@
   Duration adapter_load_ = std::chrono::milliseconds(14);
   /// Interval of reports of an engine that carries out an order.
   Duration report_interval_ = std::chrono::milliseconds(300);
+  /// A model counts as one whose adapters are in use this long after a request
+  /// used or needed one.
+  Duration adapters_active_ = std::chrono::seconds(8);
   /// Time after which an adapter that nobody used may make way.
   Duration adapter_idle_ = std::chrono::milliseconds(1500);
 };
@@ -200,6 +203,12 @@
   [[nodiscard]] auto CostOfCopy(const std::string& model) const -> double;
   auto PlaceCopy(const std::string& service, const EngineSpec& engine,
                  const std::string& model, TimePoint now) -> bool;
+  /// Returns true if an order for a model at `server` would leave a model whose
+  /// adapters are in use without an engine that takes orders for them: an
+  /// engine carries out one order at a time, and a load takes about four
+  /// seconds.
+  [[nodiscard]] auto WouldBlockAdapters(const Server& server,
+                                        TimePoint now) const -> bool;
   auto PlanAdapters(TimePoint now, std::vector<PlannerAction>& actions) -> void;
   auto Advance(const std::string& id, Server& server, TimePoint now,
                std::vector<PlannerAction>& actions) -> void;
@@ -225,6 +234,9 @@
   std::deque<TimePoint> store_loads_;
   std::deque<Change> changes_;
   std::map<std::string, std::int64_t> copies_;
+  /// Copies at engines without an order for a model in progress.
+  std::map<std::string, std::int64_t> free_copies_;
+  std::map<std::string, TimePoint> adapters_used_;  // by model
   bool all_fit_ = true;
   bool models_changed_ = false;
   double total_demand_ = 0;
--- a/modules/baobab_gateway/order_planner_models.cc
+++ b/modules/baobab_gateway/order_planner_models.cc
@@ -119,6 +119,18 @@
       }));
 }
 
+auto OrderPlanner::WouldBlockAdapters(const Server& server, TimePoint now) const
+    -> bool {
+  return std::any_of(
+      server.models_.begin(), server.models_.end(), [this, now](const auto& e) {
+        const auto used = adapters_used_.find(e.first);
+        const auto free = free_copies_.find(e.first);
+        return used != adapters_used_.end() &&
+               now - used->second <= settings_.adapters_active_ &&
+               free != free_copies_.end() && free->second <= 1;
+      });
+}
+
 auto OrderPlanner::PlaceCopy(const std::string& service,
                              const EngineSpec& engine, const std::string& model,
                              TimePoint now) -> bool {
@@ -136,7 +148,7 @@
   for (auto& [id, server] : servers_) {
     if (server.registration_.service_ != service || !server.known_ ||
         server.registration_.leaving_ || server.order_ ||
-        server.models_.count(model) > 0) {
+        server.models_.count(model) > 0 || WouldBlockAdapters(server, now)) {
       continue;
     }
     const bool cached = server.cached_.count(model) > 0;
@@ -196,6 +208,9 @@
     Announce({best_id, best_victim, "", true}, now);
     --copies_[best_victim];
   }
+  for (const auto& [resident, adapters] : best->models_) {
+    --free_copies_[resident];
+  }
   best->order_ = order;
   ++copies_[model];
   return true;
@@ -204,6 +219,7 @@
 auto OrderPlanner::PlanModels(const std::string& service,
                               const EngineSpec& engine, TimePoint now) -> void {
   copies_.clear();
+  free_copies_.clear();
   bool all_known = true;
   double room_mb = 0;
   for (const auto& [id, server] : servers_) {
@@ -215,6 +231,7 @@
     all_known = all_known && (server.seen_ || server.failed_reports_ > 1);
     for (const auto& [model, adapters] : server.models_) {
       ++copies_[model];
+      free_copies_[model] += server.order_ ? 0 : 1;
     }
     if (server.order_) {
       const auto& order = *server.order_;
--- a/modules/baobab_gateway/order_planner_test.cc
+++ b/modules/baobab_gateway/order_planner_test.cc
@@ -239,5 +239,64 @@
   CHECK(next.Next(fleet.now_ + seconds(1)).empty());
 }
 
+// Guards against adapters that wait for four seconds because every engine that
+// holds their model loads another one (scale-1 of a grown site: median 1.4 s).
+TEST_CASE("A holder of a model with adapters in use stays free", "[gateway]") {
+  const auto seed = GENERATE(1, 2, 3);
+  Fleet fleet(4, {{"m0"}, {"m1"}, {"m2"}, {"m0", "m3"}},
+              static_cast<std::uint64_t>(seed), 0);
+  fleet.Run(seconds(2), {});
+  for (int i = 0; i < 60; ++i) {
+    const auto adapter = "a" + std::to_string(i);
+    // Demand that asks for copies everywhere, of changing models.
+    const auto busy = "m" + std::to_string(1 + i / 20);
+    fleet.Run(milliseconds(300), {{"m0", 0.1}, {busy, 3.0}},
+              {{"engines", "m0", adapter, 1}});
+    INFO("adapter " << adapter);
+    CHECK((fleet.engines_.at("t0").Holds("m0", adapter) ||
+           fleet.engines_.at("t3").Holds("m0", adapter)));
+  }
+}
+
+// Guards against an adapter that is asked for only with the next report of who
+// needs it, 0.6 s later, when its order got no answer or was refused.
+TEST_CASE("An adapter order that fails goes to another engine", "[gateway]") {
+  const auto result = GENERATE(OrderResult::kUnknown, OrderResult::kRejected,
+                               OrderResult::kBusyOrOutOfDate);
+  TimePoint now{seconds(100)};
+  OrderPlanner planner{PlannerSettings()};
+  planner.SetManifest(MakeTestManifest({"m0"}));
+  planner.SetTargets(MakeRegistry(2, {"m0"}), now);
+  planner.Begin(false, now);
+  EngineReport report;
+  report.models_.push_back({"m0", {}});
+  for (const auto& action : planner.Next(now)) {
+    planner.OnReport(action.target_, report, now);
+  }
+  const auto order_of = [&planner](TimePoint at) {
+    std::string target;
+    for (const auto& action : planner.Next(at)) {
+      if (action.kind_ == PlannerAction::Kind::kOrder &&
+          action.order_.adapter_ == "a1") {
+        target = action.target_;
+        CHECK(action.order_.kind_ == OrderKind::kLoad);
+      }
+    }
+    return target;
+  };
+  planner.OnPeer("peer", {}, {{"engines", "m0", "a1", 1}}, {}, now);
+  const auto first = order_of(now);
+  REQUIRE_FALSE(first.empty());
+  EngineOrder order;
+  order.target_ = first;
+  order.model_ = "m0";
+  order.adapter_ = "a1";
+  now += milliseconds(200);
+  planner.OnOrderResult(order, result, now);
+  const auto second = order_of(now + milliseconds(50));
+  CHECK_FALSE(second.empty());
+  CHECK(second != first);
+}
+
 }  // namespace
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/simulated_engine.h
+++ b/modules/baobab_gateway/simulated_engine.h
@@ -117,6 +117,10 @@
       ++refused_;
       return OrderResult::kBusyOrOutOfDate;
     }
+    if (!order.adapter_.empty() && order_) {
+      ++refused_;  // one order at a time
+      return OrderResult::kBusyOrOutOfDate;
+    }
     if (!order.adapter_.empty()) {
       const auto model = models_.find(order.model_);
       if (model == models_.end()) {
--- a/modules/baobab_gateway/test_fleet.h
+++ b/modules/baobab_gateway/test_fleet.h
@@ -34,21 +34,28 @@
   return manifest;
 }
 
+/// Returns the registration of engine "t<index>" with `models`.
+inline auto MakeEngine(std::size_t index,
+                       const std::vector<std::string>& models)
+    -> TargetRegistration {
+  TargetRegistration registration;
+  registration.id_ = "t" + std::to_string(index);
+  registration.service_ = "engines";
+  registration.zone_ = "z";
+  registration.slots_ = 64;
+  for (const auto& model : models) {
+    registration.models_.push_back({model, {}});
+  }
+  return registration;
+}
+
 /// Registers engines "t0" to "t<count-1>", each with `models`.
 inline auto MakeRegistry(std::size_t count,
                          const std::vector<std::string>& models)
     -> TargetRegistry {
   TargetRegistry registry;
   for (std::size_t i = 0; i < count; ++i) {
-    TargetRegistration registration;
-    registration.id_ = "t" + std::to_string(i);
-    registration.service_ = "engines";
-    registration.zone_ = "z";
-    registration.slots_ = 64;
-    for (const auto& model : models) {
-      registration.models_.push_back({model, {}});
-    }
-    registry.Put(registration, static_cast<std::int64_t>(i) + 1);
+    registry.Put(MakeEngine(i, models), static_cast<std::int64_t>(i) + 1);
   }
   return registry;
 }
