--- a/modules/baobab_gateway/byte_codec.h
+++ b/modules/baobab_gateway/byte_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -68,6 +69,12 @@
     }
     Fail("contains an integer of more than ten bytes");
   }
+  /// Reads an unsigned integer. Values beyond 32 bits become the largest 32-bit
+  /// value.
+  auto ReadUint32() -> std::uint32_t {
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(ReadUnsigned(), UINT32_MAX));
+  }
   auto ReadSigned() -> std::int64_t {
     const auto value = ReadUnsigned();
     return static_cast<std::int64_t>((value >> 1U) ^ (~(value & 1U) + 1));
--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -77,9 +77,38 @@
   std::erase_if(targets_, [this](const auto& item) {
     return !item.second.registered_ && own_.count(item.first) == 0;
   });
+  RebuildIndex();
   peers_.Expire(now);
 }
 
+auto Dispatcher::RebuildIndex() -> void {
+  targets_by_model_.clear();
+  for (auto& [id, target] : targets_) {
+    const auto& registration = target.registration_;
+    if (!target.registered_ || registration.draining_) {
+      continue;
+    }
+    std::set<std::string> models{""};
+    for (const auto& model : registration.models_) {
+      models.insert(model.name_);
+    }
+    for (const auto& [model, adapter] : target.loaded_) {
+      models.insert(model);
+    }
+    for (const auto& model : models) {
+      targets_by_model_[{registration.service_, model}].push_back(&target);
+    }
+  }
+}
+
+auto Dispatcher::TargetsFor(const WorkItem& item) const
+    -> const std::vector<Target*>& {
+  static const std::vector<Target*> kNone;
+  const auto found =
+      targets_by_model_.find({item.service_, item.generation_.model_});
+  return found == targets_by_model_.end() ? kNone : found->second;
+}
+
 auto Dispatcher::FindEngine(const std::string& service) const
     -> const EngineSpec* {
   const auto found = services_.find(service);
@@ -361,8 +390,11 @@
                                  const std::string& adapter) -> void {
   const auto found = targets_.find(target);
   if (found != targets_.end()) {
-    found->second.loaded_.insert({model, adapter});
     found->second.missing_.erase({model, adapter});
+    if (found->second.loaded_.insert({model, adapter}).second &&
+        adapter.empty()) {
+      RebuildIndex();
+    }
   }
 }
 
@@ -407,13 +439,11 @@
 }
 
 auto Dispatcher::IsLoadedAtAnyTarget(const WorkItem& item) const -> bool {
-  return std::any_of(
-      targets_.begin(), targets_.end(), [this, &item](const auto& entry) {
-        const auto& target = entry.second;
-        return target.registered_ && !target.registration_.draining_ &&
-               target.registration_.service_ == item.service_ &&
-               HasModelAndAdapter(target, item);
-      });
+  const auto& targets = TargetsFor(item);
+  return std::any_of(targets.begin(), targets.end(),
+                     [this, &item](const Target* target) {
+                       return HasModelAndAdapter(*target, item);
+                     });
 }
 
 auto Dispatcher::DemandByModel(TimePoint now) -> std::map<std::string, double> {
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -302,6 +302,13 @@
   };
   [[nodiscard]] auto CandidatesFor(const WorkItem& item)
       -> std::vector<Candidate>;
+  /// Returns the registered targets of the item's service that are not leaving
+  /// and may have loaded its model, in the order of their ids.
+  [[nodiscard]] auto TargetsFor(const WorkItem& item) const
+      -> const std::vector<Target*>&;
+  /// Rebuilds the index that TargetsFor reads. Must be called when targets or
+  /// the models that they have loaded change.
+  auto RebuildIndex() -> void;
   /// Marks the candidates that are reserved for short prompts. Returns false if
   /// there are no reserved ones.
   auto MarkReserved(std::vector<Candidate>& candidates) const -> bool;
@@ -341,6 +348,10 @@
   Random random_;
   std::map<std::string, Service> services_;
   std::map<std::string, Target> targets_;
+  // Usable targets by service and model; with an empty model, all of a service.
+  // In a fleet of hundreds of targets, a decision must not search all of them.
+  std::map<std::pair<std::string, std::string>, std::vector<Target*>>
+      targets_by_model_;
   std::map<WorkId, PendingRequest> queue_;
   std::map<WorkId, SentRequest> sent_;
   LoadByTarget own_;
--- a/modules/baobab_gateway/dispatcher_choice.cc
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -141,11 +141,10 @@
 
 auto Dispatcher::CandidatesFor(const WorkItem& item) -> std::vector<Candidate> {
   std::vector<Candidate> candidates;
-  for (auto& [id, target] : targets_) {
-    if (target.registered_ && !target.registration_.draining_ &&
-        target.registration_.service_ == item.service_ &&
-        item.excluded_.count(id) == 0 && HasModelAndAdapter(target, item)) {
-      candidates.push_back({&target});
+  for (auto* target : TargetsFor(item)) {
+    if (item.excluded_.count(target->registration_.id_) == 0 &&
+        HasModelAndAdapter(*target, item)) {
+      candidates.push_back({target});
     }
   }
   return candidates;
@@ -279,15 +278,13 @@
   std::size_t calls = 0;
   std::size_t slots = 0;
   int target_count = 0;
-  for (const auto& [id, target] : targets_) {
-    if (!target.registered_ || target.registration_.draining_ ||
-        target.registration_.service_ != item.service_ ||
-        !target.health_.IsUsable(now) || !HasModelAndAdapter(target, item)) {
+  for (const auto* target : TargetsFor(item)) {
+    if (!target->health_.IsUsable(now) || !HasModelAndAdapter(*target, item)) {
       continue;
     }
-    const auto load = LoadAt(id, now);
+    const auto load = LoadAt(target->registration_.id_, now);
     ++target_count;
-    slots += target.registration_.slots_;
+    slots += target->registration_.slots_;
     prefill += Duration(load.pending_prefill_us_);
     calls += load.running_;
   }
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,7 @@
 #include "baobab_gateway/instance_settings.h"
 #include "baobab_gateway/order_holder.h"
 #include "baobab_gateway/peer_link.h"
+#include "baobab_gateway/report_intervals.h"
 #include "baobab_gateway/request_gateway.h"
 #include "baobab_gateway/state_sync.h"
 #include "baobab_http/http_server.h"
@@ -46,12 +48,6 @@
 template <class Platform>
 class EntryInstance {
  public:
-  /// Interval of the reports to peers in a small fleet.
-  static constexpr Duration kReportInterval = std::chrono::milliseconds(100);
-  /// Added to the report interval for each peer, so that reports take less than
-  /// about 2% of a quarter core.
-  static constexpr Duration kReportIntervalPerPeer =
-      std::chrono::milliseconds(6);
   /// Delay between an event and the urgent report that it causes. An urgent
   /// report is sent without waiting for the report interval. The delay is also
   /// the minimum time between two urgent reports.
@@ -114,10 +110,10 @@
                    urgent_report_to_all_ = true;
                    ScheduleUrgentReport(kUrgentReportDelay);
                  }}),
-        peers_(
-            io, settings_.address_, settings_.peer_port_,
-            {[this](const PeerReport& report) { OnPeerReport(report); },
-             [this](const LoadUpdate& update) { OnPeerLoadUpdate(update); }}),
+        peers_(io, settings_.address_, settings_.peer_port_,
+               {[this](const PeerReport& report) { OnPeerReport(report); },
+                [this](const LoadUpdate& update) { OnPeerLoadUpdate(update); },
+                [this](const FleetDigest& digest) { OnDigest(digest); }}),
         report_timer_(io),
         urgent_timer_(io),
         registration_timer_(io),
@@ -211,7 +207,8 @@
     const auto own = IsReady() && settings_.caller_endpoint_
                          ? settings_.caller_endpoint_->ToString()
                          : "";
-    const auto addresses = directory_.CallerAddresses(own, Now());
+    const auto addresses = directory_.CallerAddresses(
+        own, Platform::EntryCodec::DecodeLookupZone(request), Now());
     return Platform::EntryCodec::EncodeLookup(
         request, addresses,
         std::min(kMaxDirectoryAge, settings_.directory_ttl_));
@@ -254,19 +251,31 @@
       directory_.Unregister(name);
       return;
     }
-    // Format of the value: "<address> <address for callers>"
-    const auto space = entry.value_.find(' ');
-    directory_.Register(name, entry.value_.substr(0, space),
-                        space == std::string::npos
-                            ? std::string()
-                            : entry.value_.substr(space + 1));
+    directory_.Register(name, DecodeRegistration(entry.value_));
   }
 
+  /// Encodes the value of the store entry that registers this instance:
+  /// "<address> <address for callers> <zone> <CPU share>".
+  [[nodiscard]] auto EncodeRegistration() const -> std::string;
+
+  /// Decodes the value that EncodeRegistration returned. Fields that are
+  /// missing, as in entries of an earlier version, are left empty.
+  [[nodiscard]] static auto DecodeRegistration(const std::string& value)
+      -> InstanceRegistration;
+
   auto OnPeerReport(const PeerReport& report) -> void;
 
   auto OnPeerLoadUpdate(const LoadUpdate& update) -> void;
 
-  /// Sends all peers the load of this instance at `targets`.
+  /// Applies a digest of a coordinator: the entry instances, the leaving
+  /// targets and the state of the coordinator.
+  auto OnDigest(const FleetDigest& digest) -> void;
+
+  /// Applies the parts of a report that a digest has as well.
+  auto ApplyReportHeader(const PeerReport& report, TimePoint now) -> void;
+
+  /// Sends the load of this instance at `targets` to the peers that send
+  /// requests to targets.
   auto SendLoadUpdates(const std::set<std::string>& targets) -> void;
 
   auto ApplyChange(const LoadedModelChange& change) -> void;
@@ -304,9 +313,19 @@
 
   /// Sends a report. If `urgent` is true, only the order lease holder and the
   /// instances that wait for a newly loaded adapter receive it; otherwise all
-  /// known instances do. If no instance is known, it goes to the seeds.
+  /// instances with which this one exchanges reports do. If no instance is
+  /// known, it goes to the seeds.
   auto SendReport(bool urgent = false) -> void;
 
+  /// Sends a digest to all known instances if this instance is a coordinator
+  /// and a digest is due: its interval has passed, or the entry instances or
+  /// leaving targets have changed.
+  auto SendDigestIfDue(const PeerReport& header, TimePoint now) -> void;
+
+  /// Divides the retry budget and the connections of targets according to the
+  /// role of this instance.
+  auto UpdateShares(TimePoint now) -> void;
+
   auto Register() -> void;
 
   auto ScheduleRegistration(Duration delay) -> void;
@@ -326,6 +345,11 @@
   /// Maximum time that a report usually takes from its creation to its receipt,
   /// including delays in the sending process.
   static constexpr Duration kMaxReportDelay = std::chrono::milliseconds(150);
+  /// Part of the retry slack that all entry instances share, and the part that
+  /// all others share. Their sum is below 1 because the set of entry instances
+  /// may change within the window of the retry limit.
+  static constexpr double kEntryRetryShare = 0.5;
+  static constexpr double kStandbyRetryShare = 0.3;
   /// Time for which the order lease holder repeats a change of loaded models or
   /// adapters in its reports, since a report may be lost.
   static constexpr Duration kChangeRepeatTime = std::chrono::seconds(2);
@@ -362,7 +386,10 @@
   // Last routing revision for which this watching instance scheduled an urgent
   // report to all instances.
   std::int64_t announced_routing_revision_ = 0;
-  TimePoint reported_at_{};       // time of the last report to all instances
+  TimePoint reported_at_{};  // time of the last report to all recipients
+  TimePoint digest_sent_at_{};
+  std::set<std::string> digest_entries_;  // entry instances in the last digest
+  std::int64_t digest_routing_revision_ = 0;
   AdapterRequesters requesters_;  // used by the order lease holder
 };
 
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -18,16 +18,21 @@
   for (const auto& change : report.changes_) {
     ApplyChange(change);
   }
-  sync_.OnPeerRevision(
-      report.routing_revision_,
-      report.store_read_age_
-          ? std::optional(now - *report.store_read_age_ - kMaxReportDelay)
-          : std::nullopt);
-  holder_.OnPeerHolder(report.fencing_token_);
+  ApplyReportHeader(report, now);
   if (report.fencing_token_ == 0) {
     holder_.OnPeerNotHolder(OwnerId(report.instance_, report.incarnation_),
                             report.recent_orders_);
   }
+  if (report.needs_digest_) {
+    if (const auto* digest = directory_.CurrentDigest(now)) {
+      peers_.Send(report.address_, EncodeFleetDigest(*digest));
+    }
+  }
+  if (directory_.IsCoordinator() && report.stopping_ &&
+      digest_entries_.count(report.instance_) > 0) {
+    urgent_report_to_all_ = true;
+    ScheduleUrgentReport(kUrgentReportDelay);
+  }
   if (holder_.fencing_token() != 0) {
     holder_.planner().OnPeerDemand(report.instance_, report.demand_,
                                    report.missing_adapters_,
@@ -47,6 +52,34 @@
   }
 }
 
+template <class Platform>
+auto EntryInstance<Platform>::ApplyReportHeader(const PeerReport& report,
+                                                TimePoint now) -> void {
+  sync_.OnPeerRevision(
+      report.routing_revision_,
+      report.store_read_age_
+          ? std::optional(now - *report.store_read_age_ - kMaxReportDelay)
+          : std::nullopt);
+  sync_.OnPeerManifestVersion(report.manifest_version_);
+  holder_.OnPeerHolder(report.fencing_token_);
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::OnDigest(const FleetDigest& digest) -> void {
+  const auto now = Now();
+  const auto& coordinator = digest.coordinator_;
+  if (coordinator.instance_ == settings_.instance_ ||
+      !directory_.RecordDigest(digest, now)) {
+    return;
+  }
+  ApplyReportHeader(coordinator, now);
+  sync_.OnLeavingTargets(
+      digest.leaving_targets_, digest.leaving_complete_after_,
+      coordinator.store_read_age_
+          ? std::optional(now - *coordinator.store_read_age_ - kMaxReportDelay)
+          : std::nullopt);
+}
+
 template <class Platform>
 auto EntryInstance<Platform>::OnPeerLoadUpdate(const LoadUpdate& update)
     -> void {
@@ -62,13 +95,17 @@
 auto EntryInstance<Platform>::SendLoadUpdates(
     const std::set<std::string>& targets) -> void {
   const auto now = Now();
+  if (!directory_.IsActive(now)) {
+    return;
+  }
+  const auto recipients = directory_.ReportRecipients(now);
   for (const auto& target : targets) {
     const auto bytes = EncodeLoadUpdate(
         {settings_.instance_, incarnation_, ++sequence_, target,
          gateway_.dispatcher().OwnLoadAt(target, now)});
-    for (const auto& [name, instance] : directory_.instances()) {
-      if (instance.has_reported_) {
-        peers_.Send(instance.address_, bytes);
+    for (const auto* instance : recipients) {
+      if (instance->has_reported_) {
+        peers_.Send(instance->address_, bytes);
       }
     }
   }
@@ -123,9 +160,11 @@
 template <class Platform>
 auto EntryInstance<Platform>::SendPeriodicReports() -> void {
   SendReport();
+  const auto now = Now();
   report_timer_.expires_after(
-      kReportInterval +
-      kReportIntervalPerPeer * static_cast<int>(directory_.instances().size()));
+      directory_.IsActive(now)
+          ? ReportIntervals::Report(directory_.ReportRecipients(now).size())
+          : ReportIntervals::kStandbyReport);
   report_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
       SendPeriodicReports();
@@ -136,7 +175,19 @@
 template <class Platform>
 auto EntryInstance<Platform>::UpdateRoles(TimePoint now) -> void {
   directory_.Expire(now);
-  gateway_.SetInstanceCount(directory_.CountIncludingSelf());
+  const bool was_entry = directory_.IsEntry();
+  directory_.Update(
+      {settings_.instance_, settings_.zone_,
+       settings_.caller_endpoint_ ? settings_.caller_endpoint_->ToString() : "",
+       settings_.cpu_permille_, IsReady(), holder_.fencing_token() != 0},
+      now);
+  if (directory_.HasDigests() && directory_.IsEntry() != was_entry) {
+    LogEvent(LogLevel::kInfo, "entry_role")
+        .With("entry", directory_.IsEntry() ? "yes" : "no")
+        .With("entries", directory_.CountEntries())
+        .With("instances", directory_.CountIncludingSelf());
+  }
+  UpdateShares(now);
   gateway_.dispatcher().ExpirePeers(now);
   const bool store_connected = IsStoreConnected(now);
   holder_.SetStoreConnected(store_connected);
@@ -153,10 +204,30 @@
   if (holder_.fencing_token() == 0) {
     requesters_.Clear();
   }
-  sync_.SetWatchingInstance(
-      holder_.fencing_token() != 0 ||
-      directory_.IsWatchingInstance(settings_.instance_,
-                                    settings_.cpu_permille_, now));
+  holder_.SetMayCompete(
+      directory_.IsCoordinator() ||
+      (directory_.IsEntry() && !directory_.CoordinatorReachesStore(now)));
+  sync_.SetReadRole(directory_.IsCoordinator() || holder_.fencing_token() != 0
+                        ? StoreReadRole::kWatching
+                    : directory_.IsActive(now) ? StoreReadRole::kActive
+                                               : StoreReadRole::kStandby);
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::UpdateShares(TimePoint now) -> void {
+  if (!directory_.HasDigests()) {
+    const auto count = directory_.CountIncludingSelf();
+    gateway_.SetInstanceCount(count, count);
+    return;
+  }
+  const bool active = directory_.IsActive(now);
+  const auto sharing =
+      active ? static_cast<double>(directory_.CountEntries()) / kEntryRetryShare
+             : static_cast<double>(directory_.CountIncludingSelf()) /
+                   kStandbyRetryShare;
+  gateway_.SetInstanceCount(
+      static_cast<std::size_t>(sharing) + 1,
+      active ? directory_.CountEntries() : directory_.CountIncludingSelf());
 }
 
 template <class Platform>
@@ -179,6 +250,7 @@
   }
   report.store_connected_ = IsStoreConnected(now);
   report.fencing_token_ = holder_.fencing_token();
+  report.needs_digest_ = directory_.HasDigests() && directory_.NeedsDigest(now);
   report.cpu_permille_ = settings_.cpu_permille_;
   report.load_ = dispatcher.OwnLoad(now);
   report.recent_orders_ = holder_.RecentOrders();
@@ -212,21 +284,26 @@
   report.missing_adapters_ = std::move(missing_adapters);
   report.adapter_uses_ = std::move(uses);
   std::string holder_datagram;  // encoded only if a peer holds the order lease
-  for (const auto& [name, instance] : directory_.instances()) {
-    if (instance.fencing_token_ != 0) {
+  for (const auto* instance : directory_.ReportRecipients(now)) {
+    if (directory_.IsLeaseHolder(*instance)) {
       if (holder_datagram.empty()) {
         holder_datagram = EncodePeerReport(report);
       }
-      peers_.Send(instance.address_, holder_datagram);
-    } else if (!urgent || waiting_addresses.count(instance.address_) > 0) {
-      peers_.Send(instance.address_, datagram);
+      peers_.Send(instance->address_, holder_datagram);
+    } else if (!urgent || waiting_addresses.count(instance->address_) > 0) {
+      peers_.Send(instance->address_, datagram);
     }
+    waiting_addresses.erase(instance->address_);
+  }
+  for (const auto& address : waiting_addresses) {
+    peers_.Send(address, datagram);
   }
+  SendDigestIfDue(report, now);
   if (!urgent) {
     urgent_report_to_all_ = false;
     reported_at_ = now;
   }
-  if (directory_.instances().empty()) {
+  if (directory_.instances().empty() || report.needs_digest_) {
     for (const auto& seed : settings_.seed_peers_) {
       if (seed.host_ != settings_.address_) {
         peers_.Send(seed.host_, datagram);
@@ -235,4 +312,31 @@
   }
 }
 
+template <class Platform>
+auto EntryInstance<Platform>::SendDigestIfDue(const PeerReport& header,
+                                              TimePoint now) -> void {
+  if (!directory_.HasDigests() || !directory_.IsCoordinator()) {
+    return;
+  }
+  const bool changed = directory_.entries() != digest_entries_ ||
+                       sync_.routing_revision() != digest_routing_revision_;
+  const auto interval =
+      changed ? kMinBroadcastInterval
+              : ReportIntervals::Digest(directory_.CountIncludingSelf());
+  if (now - digest_sent_at_ < interval) {
+    return;
+  }
+  digest_sent_at_ = now;
+  digest_entries_ = directory_.entries();
+  digest_routing_revision_ = sync_.routing_revision();
+  auto digest = directory_.MakeDigest(header, now);
+  digest.coordinator_.sequence_ = ++sequence_;
+  digest.leaving_complete_after_ = sync_.leaving_targets().CompleteAfter(now);
+  digest.leaving_targets_ = sync_.leaving_targets().Recent(now);
+  const auto bytes = EncodeFleetDigest(digest);
+  for (const auto& [name, instance] : directory_.instances()) {
+    peers_.Send(instance.address_, bytes);
+  }
+}
+
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -34,11 +34,7 @@
     }
     StoreTransaction change;
     change.writes_.push_back({kInstancesPrefix + settings_.instance_,
-                              settings_.address_ + " " +
-                                  (settings_.caller_endpoint_
-                                       ? settings_.caller_endpoint_->ToString()
-                                       : ""),
-                              lease->id_});
+                              EncodeRegistration(), lease->id_});
     const auto id = lease->id_;
     store_.Commit(change, [this, id](auto committed) {
       if (std::holds_alternative<std::int64_t>(committed)) {
@@ -50,6 +46,27 @@
   });
 }
 
+template <class Platform>
+auto EntryInstance<Platform>::EncodeRegistration() const -> std::string {
+  return settings_.address_ + " " +
+         (settings_.caller_endpoint_ ? settings_.caller_endpoint_->ToString()
+                                     : "-") +
+         " " + settings_.zone_ + " " + std::to_string(settings_.cpu_permille_);
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::DecodeRegistration(const std::string& value)
+    -> InstanceRegistration {
+  InstanceRegistration registration;
+  std::istringstream fields(value);
+  fields >> registration.address_ >> registration.caller_address_ >>
+      registration.zone_ >> registration.cpu_permille_;
+  if (registration.caller_address_ == "-") {
+    registration.caller_address_.clear();
+  }
+  return registration;
+}
+
 template <class Platform>
 auto EntryInstance<Platform>::ScheduleRegistration(Duration delay) -> void {
   registration_timer_.expires_after(delay);
--- a/modules/baobab_gateway/instance_directory_test.cc
+++ b/modules/baobab_gateway/instance_directory_test.cc
@@ -41,7 +41,7 @@
       {6, 2, 0, 6},  // fewer than half report: partitioned
       {6, 0, 0, 6},
       {0, 2, 0, 2},
-      {70, 70, 0, InstanceDirectory::kMaxAddresses},
+      {15, 15, 0, 15},
   }));
   InstanceDirectory directory;
   const TimePoint now = TimePoint{} + std::chrono::seconds(10);
@@ -49,7 +49,7 @@
        ++i) {
     const auto name = "i" + std::to_string(i);
     if (i < test.registered_) {
-      directory.Register(name, "10.0.0.1", name + ":80");
+      directory.Register(name, {"10.0.0.1", name + ":80", "", 0});
     }
     auto report = Report(name);
     report.stopping_ = i < test.stopping_;
@@ -57,7 +57,7 @@
     REQUIRE(directory.RecordReport(
         report, i < test.recently_reporting_ ? now : now - kExpiredSilence));
   }
-  CHECK(directory.CallerAddresses("", now).size() == test.expected_);
+  CHECK(directory.CallerAddresses("", "", now).size() == test.expected_);
 }
 
 // Guards against delayed reports of an ended process that replace the state of
@@ -96,23 +96,39 @@
   CHECK(directory.StoreUnreachableForAllSince(now).has_value() == unreachable);
 }
 
+// Guards against responses that exceed what callers read: they use the first 64
+// addresses.
+TEST_CASE("A directory response is bounded before a digest has arrived",
+          "[gateway]") {
+  InstanceDirectory directory;
+  const TimePoint now = TimePoint{} + std::chrono::seconds(10);
+  for (int i = 0; i < 70; ++i) {
+    REQUIRE(directory.RecordReport(Report("i" + std::to_string(i)), now));
+  }
+  CHECK(directory.CallerAddresses("", "", now).size() ==
+        InstanceDirectory::kMaxAddresses);
+}
+
 TEST_CASE("A bounded number of instances read the store for their peers",
           "[gateway]") {
   const auto count = GENERATE(2, 7, 83);
   std::size_t readers = 0;
+  const TimePoint now = TimePoint{} + std::chrono::seconds(10);
   for (int own = 0; own < count; ++own) {
     InstanceDirectory directory;
     for (int i = 0; i < count; ++i) {
       if (i != own) {
-        REQUIRE(directory.RecordReport(Report("i" + std::to_string(i)),
-                                       TimePoint{}));
+        REQUIRE(directory.RecordReport(Report("i" + std::to_string(i)), now));
       }
     }
-    readers +=
-        directory.IsWatchingInstance("i" + std::to_string(own), 0, TimePoint{});
+    InstanceDirectory::Self self;
+    self.instance_ = "i" + std::to_string(own);
+    self.is_ready_ = true;
+    directory.Update(self, now);
+    readers += directory.IsCoordinator() ? 1 : 0;
   }
-  CHECK(readers == std::min<std::size_t>(
-                       count, InstanceDirectory::kWatchingInstanceCount));
+  CHECK(readers ==
+        std::min<std::size_t>(count, CoordinatorElection::kCoordinatorCount));
 }
 
 // Guards against a delayed load update, or a load update of an ended process,
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -150,6 +150,15 @@
     }
   }
 
+  /// Sets whether this instance may acquire the lease. In a large fleet only a
+  /// few instances compete for it.
+  auto SetMayCompete(bool may_compete) -> void {
+    if (may_compete && !std::exchange(may_compete_, may_compete)) {
+      Compete();
+    }
+    may_compete_ = may_compete;
+  }
+
   /// Sets whether this instance has a connection to the store.
   auto SetStoreConnected(bool connected) -> void {
     if (connected && !store_connected_) {
@@ -281,7 +290,9 @@
   /// call.
   auto SetRegistry(const TargetRegistry& registry) -> void {
     registry_ = &registry;
-    planner_.SetTargets(registry, Now());
+    if (lease_.is_held()) {
+      planner_.SetTargets(registry, Now());
+    }
   }
 
  private:
@@ -322,8 +333,8 @@
   }
 
   auto Compete() -> void {
-    if (!started_ || stopping_ || lease_.is_held() || competing_ ||
-        !lease_is_free_) {
+    if (!started_ || stopping_ || !may_compete_ || lease_.is_held() ||
+        competing_ || !lease_is_free_) {
       return;
     }
     competing_ = true;
@@ -412,6 +423,9 @@
     acquired_at_ = BootTime();
     blocked_until_.clear();
     expiry_logged_ = false;
+    if (registry_ != nullptr) {
+      planner_.SetTargets(*registry_, Now());
+    }
     planner_.StartTerm(/*may_have_loaded=*/true, Now());
     LogEvent(LogLevel::kInfo, "holder_acquired")
         .With("fence", revision)
@@ -583,6 +597,7 @@
   bool expiry_logged_ = false;
   bool started_ = false;
   bool stopping_ = false;
+  bool may_compete_ = false;
   bool competing_ = false;
   bool lease_is_free_ = true;
 };
--- a/modules/baobab_gateway/order_planner.h
+++ b/modules/baobab_gateway/order_planner.h
@@ -237,26 +237,61 @@
   /// highest demand.
   [[nodiscard]] auto PlacementDemand(const std::string& model) const -> double;
   auto UpdateDemand(TimePoint now) -> void;
+  /// A model in one run of the planner.
+  struct ModelPlacement {
+    const ModelSpec* spec_ = nullptr;
+    double demand_ = 0;        // see PlacementDemand()
+    std::int64_t copies_ = 0;  // as they will be after the planned orders
+    /// Copies at engines without an order for a model in progress.
+    std::int64_t free_copies_ = 0;
+    bool adapters_in_use_ = false;
+  };
+  /// A target without an order whose models are known, in one run.
+  struct OpenTarget {
+    const std::string* id_ = nullptr;
+    TargetState* state_ = nullptr;
+    double used_mb_ = 0;
+    /// Index of each loaded model in PlacementPass::models_ and its memory,
+    /// with adapters, in MB.
+    std::vector<std::pair<std::size_t, double>> residents_;
+  };
+  /// The facts of one run for the engines of one service. Looked up once: with
+  /// hundreds of targets and models, a run compares each model that needs a
+  /// copy with each target.
+  struct PlacementPass {
+    std::vector<ModelPlacement> models_;  // in the order of EngineSpec::models_
+    std::vector<OpenTarget> targets_;
+    std::size_t planned_store_loads_ = 0;
+    double memory_mb_ = 0;   // of all targets
+    bool all_known_ = true;  // all targets have reported, or do not respond
+  };
+
+  [[nodiscard]] auto BeginPass(const std::string& service,
+                               const EngineSpec& engine, TimePoint now)
+      -> PlacementPass;
   /// Plans loads and unloads of models for the engines of one service.
   auto PlanModels(const std::string& service, const EngineSpec& engine,
                   TimePoint now) -> void;
-  /// Returns the demand that another copy of `model` would serve; a very high
-  /// value for the first copy of a model that must have one.
-  [[nodiscard]] auto GainOfCopy(const std::string& model) const -> double;
-  /// Returns the demand that each remaining copy of `model` would have to serve
-  /// after the removal of one; the largest double for the last copy of a model
-  /// that must keep one.
-  [[nodiscard]] auto CostOfCopy(const std::string& model) const -> double;
-  /// Plans another copy of `model` at the target where that costs least.
-  /// Returns false if no target is suitable.
-  auto PlaceCopy(const std::string& service, const EngineSpec& engine,
-                 const std::string& model, TimePoint now) -> bool;
-  /// Returns true if an order for a model at `server` would leave a model whose
+  /// Returns the demand that another copy would serve; a very high value for
+  /// the first copy of a model that must have one.
+  [[nodiscard]] auto GainOfCopy(const ModelPlacement& model) const -> double;
+  /// Returns the demand that each remaining copy would have to serve after the
+  /// removal of one; the largest double for the last copy of a model that must
+  /// keep one.
+  [[nodiscard]] auto CostOfCopy(const ModelPlacement& model) const -> double;
+  /// Returns the priority of another copy; 0 if none is needed.
+  [[nodiscard]] auto NeedOfCopy(const ModelPlacement& model) const -> double;
+  /// Plans another copy of the model at `index` at the target where that costs
+  /// least. Returns false if no target is suitable.
+  auto PlaceCopy(const EngineSpec& engine, PlacementPass& pass,
+                 std::size_t index, TimePoint now) -> bool;
+  /// Returns true if an order for a model at `target` would leave a model whose
   /// adapters are in use without an engine that accepts orders for them: an
   /// engine carries out one order at a time, and a load takes about four
   /// seconds.
-  [[nodiscard]] auto WouldBlockAdapters(const TargetState& server,
-                                        TimePoint now) const -> bool;
+  [[nodiscard]] static auto WouldBlockAdapters(const PlacementPass& pass,
+                                               const OpenTarget& target)
+      -> bool;
   /// Adds the orders that load missing adapters or evict unused ones to make
   /// room for them.
   auto PlanAdapters(TimePoint now, std::vector<PlannerAction>& actions) -> void;
@@ -294,8 +329,6 @@
   std::deque<Change> changes_;
   /// Copies by model, as they will be after the planned orders.
   std::map<std::string, std::int64_t> copies_;
-  /// Copies at engines without an order for a model in progress.
-  std::map<std::string, std::int64_t> free_copies_;
   std::map<std::string, TimePoint> adapters_used_;  // by model
   /// Whether all models fit into max_fit_share_ of the memory.
   bool all_fit_ = true;
--- a/modules/baobab_gateway/order_planner_models.cc
+++ b/modules/baobab_gateway/order_planner_models.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <queue>
 #include <utility>
 
@@ -19,30 +20,6 @@
 
 }  // namespace
 
-auto OrderPlanner::GainOfCopy(const std::string& model) const -> double {
-  const auto found = copies_.find(model);
-  const auto copies = found == copies_.end() ? 0 : found->second;
-  const auto weight = PlacementDemand(model);
-  if (copies > 0) {
-    return weight / static_cast<double>(copies + 1);
-  }
-  return all_fit_ || weight > settings_.negligible_demand_
-             ? kFirstCopyGain
-             : settings_.unused_copy_value_;
-}
-
-auto OrderPlanner::CostOfCopy(const std::string& model) const -> double {
-  const auto found = copies_.find(model);
-  const auto copies = found == copies_.end() ? 0 : found->second;
-  const auto weight = PlacementDemand(model);
-  if (copies > 1) {
-    return weight / static_cast<double>(copies - 1);
-  }
-  return all_fit_ || weight > settings_.negligible_demand_
-             ? std::numeric_limits<double>::max()
-             : settings_.unused_copy_value_;
-}
-
 auto OrderPlanner::UpdateDemand(TimePoint now) -> void {
   const auto elapsed = std::chrono::duration<double>(now - demand_at_);
   demand_at_ = now;
@@ -126,171 +103,221 @@
       }));
 }
 
-auto OrderPlanner::WouldBlockAdapters(const TargetState& server,
-                                      TimePoint now) const -> bool {
-  return std::any_of(
-      server.models_.begin(), server.models_.end(), [this, now](const auto& e) {
-        const auto used = adapters_used_.find(e.first);
-        const auto free = free_copies_.find(e.first);
-        return used != adapters_used_.end() &&
-               now - used->second <= settings_.adapter_in_use_period_ &&
-               free != free_copies_.end() && free->second <= 1;
-      });
+auto OrderPlanner::GainOfCopy(const ModelPlacement& model) const -> double {
+  if (model.copies_ > 0) {
+    return model.demand_ / static_cast<double>(model.copies_ + 1);
+  }
+  return all_fit_ || model.demand_ > settings_.negligible_demand_
+             ? kFirstCopyGain
+             : settings_.unused_copy_value_;
 }
 
-auto OrderPlanner::PlaceCopy(const std::string& service,
-                             const EngineSpec& engine, const std::string& model,
-                             TimePoint now) -> bool {
-  const auto* spec = FindModelSpec(engine, model);
-  if (spec == nullptr) {
-    return false;
+auto OrderPlanner::CostOfCopy(const ModelPlacement& model) const -> double {
+  if (model.copies_ > 1) {
+    return model.demand_ / static_cast<double>(model.copies_ - 1);
+  }
+  return all_fit_ || model.demand_ > settings_.negligible_demand_
+             ? std::numeric_limits<double>::max()
+             : settings_.unused_copy_value_;
+}
+
+auto OrderPlanner::NeedOfCopy(const ModelPlacement& model) const -> double {
+  if (model.copies_ <= 0) {
+    return settings_.first_copy_need_ + model.demand_;
+  }
+  const auto share = model.demand_ / static_cast<double>(model.copies_);
+  return share > settings_.busy_copy_demand_ ? share : 0;
+}
+
+auto OrderPlanner::WouldBlockAdapters(const PlacementPass& pass,
+                                      const OpenTarget& target) -> bool {
+  return std::any_of(target.residents_.begin(), target.residents_.end(),
+                     [&pass](const auto& resident) {
+                       const auto& model = pass.models_[resident.first];
+                       return model.adapters_in_use_ && model.free_copies_ <= 1;
+                     });
+}
+
+auto OrderPlanner::BeginPass(const std::string& service,
+                             const EngineSpec& engine, TimePoint now)
+    -> PlacementPass {
+  PlacementPass pass;
+  pass.planned_store_loads_ = PlannedStoreLoads();
+  pass.models_.reserve(engine.models_.size());
+  for (const auto& spec : engine.models_) {
+    const auto used = adapters_used_.find(spec.name_);
+    pass.models_.push_back(
+        {&spec, PlacementDemand(spec.name_), 0, 0,
+         used != adapters_used_.end() &&
+             now - used->second <= settings_.adapter_in_use_period_});
+  }
+  const auto find = [this, &engine, &pass](const std::string& model) {
+    const auto* spec = FindModelSpec(engine, model);
+    return spec == nullptr ? nullptr
+                           : &pass.models_[static_cast<std::size_t>(
+                                 spec - engine.models_.data())];
+  };
+  for (auto& [id, server] : servers_) {
+    if (server.registration_.service_ != service ||
+        server.registration_.draining_) {
+      continue;
+    }
+    pass.memory_mb_ += engine.weight_memory_mb_;
+    pass.all_known_ =
+        pass.all_known_ && (server.report_read_ || server.failed_reports_ > 1);
+    OpenTarget open;
+    open.id_ = &id;
+    open.state_ = &server;
+    open.used_mb_ = UsedMb(server, engine);
+    for (const auto& [name, adapters] : server.models_) {
+      if (auto* model = find(name)) {
+        ++model->copies_;
+        model->free_copies_ += server.order_ ? 0 : 1;
+        open.residents_.emplace_back(
+            model - pass.models_.data(),
+            model->spec_->memory_mb_ +
+                model->spec_->adapter_mb_ *
+                    static_cast<double>(adapters.size()));
+      }
+    }
+    if (!server.order_) {
+      if (server.contents_known_) {
+        pass.targets_.push_back(std::move(open));
+      }
+      continue;
+    }
+    const auto& order = *server.order_;
+    auto* model = find(order.model_);
+    if (order.kind_ == OrderKind::kLoad) {
+      if (model != nullptr && server.models_.count(order.model_) == 0) {
+        ++model->copies_;
+      }
+    } else {
+      if (model != nullptr) {
+        --model->copies_;
+      }
+      if (auto* next = find(order.load_after_unload_)) {
+        ++next->copies_;
+      }
+    }
   }
+  return pass;
+}
+
+auto OrderPlanner::PlaceCopy(const EngineSpec& engine, PlacementPass& pass,
+                             std::size_t index, TimePoint now) -> bool {
+  auto& model = pass.models_[index];
+  const auto& name = model.spec_->name_;
   const auto gain = GainOfCopy(model);
   const bool may_load_from_store =
-      MayLoadFromStore(engine, PlannedStoreLoads(), now);
-  TargetState* best = nullptr;
-  std::string best_id;
-  std::string best_victim;
+      MayLoadFromStore(engine, pass.planned_store_loads_, now);
+  auto best = pass.targets_.end();
+  bool best_is_cached = false;
+  std::optional<std::size_t> best_victim;
   double best_cost = std::numeric_limits<double>::max();
-  for (auto& [id, server] : servers_) {
-    if (server.registration_.service_ != service || !server.contents_known_ ||
-        server.registration_.draining_ || server.order_ ||
-        server.models_.count(model) > 0 || WouldBlockAdapters(server, now)) {
+  for (auto target = pass.targets_.begin(); target != pass.targets_.end();
+       ++target) {
+    const auto& residents = target->residents_;
+    const bool is_resident = std::any_of(
+        residents.begin(), residents.end(),
+        [index](const auto& resident) { return resident.first == index; });
+    if (is_resident || WouldBlockAdapters(pass, *target)) {
       continue;
     }
-    const bool cached = server.cached_models_.count(model) > 0;
+    const bool cached = target->state_->cached_models_.count(name) > 0;
     if (!cached && !may_load_from_store) {
       continue;
     }
     // The cost is the demand that the evicted copy serves. A load from the
     // weight store costs more than one from the target's host memory or disk.
     double cost = cached ? 0 : settings_.busy_copy_demand_ / 20;
-    std::string victim;
-    const auto used_mb = UsedMb(server, engine);
-    if (used_mb + spec->memory_mb_ > engine.weight_memory_mb_) {
+    std::optional<std::size_t> victim;
+    const auto needed_mb = target->used_mb_ + model.spec_->memory_mb_;
+    if (needed_mb > engine.weight_memory_mb_) {
       double least = std::numeric_limits<double>::max();
-      for (const auto& [resident, adapters] : server.models_) {
-        const auto* resident_spec = FindModelSpec(engine, resident);
-        if (resident_spec == nullptr ||
-            used_mb - resident_spec->memory_mb_ -
-                    resident_spec->adapter_mb_ *
-                        static_cast<double>(adapters.size()) +
-                    spec->memory_mb_ >
-                engine.weight_memory_mb_) {
-          continue;
-        }
-        const auto lost = CostOfCopy(resident);
-        if (lost < least) {
+      for (const auto& [resident, memory_mb] : residents) {
+        const auto lost = CostOfCopy(pass.models_[resident]);
+        if (needed_mb - memory_mb <= engine.weight_memory_mb_ && lost < least) {
           least = lost;
           victim = resident;
         }
       }
       // Before any demand is known, the current placement is the best estimate
       // of the demand: nothing is evicted unless all models fit.
-      if (victim.empty() || (total_demand_ <= 0 && !all_fit_) ||
+      if (!victim || (total_demand_ <= 0 && !all_fit_) ||
           gain < settings_.min_replacement_gain_ratio_ * least) {
         continue;
       }
       cost += least;
     }
     if (cost < best_cost) {
-      best = &server;
-      best_id = id;
+      best = target;
+      best_is_cached = cached;
       best_victim = victim;
       best_cost = cost;
     }
   }
-  if (best == nullptr) {
+  if (best == pass.targets_.end()) {
     return false;
   }
   ModelOrder order;
-  if (best_victim.empty()) {
+  if (!best_victim) {
     order.kind_ = OrderKind::kLoad;
-    order.model_ = model;
+    order.model_ = name;
     order.not_before_ = now;
   } else {
+    auto& victim = pass.models_[*best_victim];
     order.kind_ = OrderKind::kUnload;
-    order.model_ = best_victim;
-    order.load_after_unload_ = model;
+    order.model_ = victim.spec_->name_;
+    order.load_after_unload_ = name;
     order.not_before_ = now + settings_.unload_announcement_time_;
-    Announce({best_id, best_victim, "", true}, now);
-    --copies_[best_victim];
+    Announce({*best->id_, order.model_, "", true}, now);
+    --victim.copies_;
   }
-  for (const auto& [resident, adapters] : best->models_) {
-    --free_copies_[resident];
+  for (const auto& [resident, memory_mb] : best->residents_) {
+    --pass.models_[resident].free_copies_;
   }
-  best->order_ = order;
-  ++copies_[model];
+  best->state_->order_ = order;
+  pass.targets_.erase(best);
+  pass.planned_store_loads_ += best_is_cached ? 0 : 1;
+  ++model.copies_;
   return true;
 }
 
 auto OrderPlanner::PlanModels(const std::string& service,
                               const EngineSpec& engine, TimePoint now) -> void {
-  copies_.clear();
-  free_copies_.clear();
-  bool all_known = true;
-  double room_mb = 0;
-  for (const auto& [id, server] : servers_) {
-    if (server.registration_.service_ != service ||
-        server.registration_.draining_) {
-      continue;
-    }
-    room_mb += engine.weight_memory_mb_;
-    all_known =
-        all_known && (server.report_read_ || server.failed_reports_ > 1);
-    for (const auto& [model, adapters] : server.models_) {
-      ++copies_[model];
-      free_copies_[model] += server.order_ ? 0 : 1;
-    }
-    if (server.order_) {
-      const auto& order = *server.order_;
-      if (order.kind_ == OrderKind::kLoad &&
-          server.models_.count(order.model_) == 0) {
-        ++copies_[order.model_];
-      } else if (order.kind_ == OrderKind::kUnload) {
-        --copies_[order.model_];
-        copies_[order.load_after_unload_] +=
-            order.load_after_unload_.empty() ? 0 : 1;
-      }
-    }
-  }
+  auto pass = BeginPass(service, engine, now);
   double models_mb = 0;
   for (const auto& model : engine.models_) {
     models_mb += model.memory_mb_;
   }
-  all_fit_ = models_mb <= settings_.max_fit_share_ * room_mb;
-  if (!all_known) {
-    return;  // a target that has not reported yet may hold a copy
-  }
-  // Places models in descending order of need_of(). One model may get several
-  // copies in succession while its need is the largest: a shift of demand
-  // requires many copies of one model at once.
-  std::priority_queue<std::pair<double, std::string>> by_need;
-  const auto need_of = [this](const std::string& model) {
-    const auto weight = PlacementDemand(model);
-    const auto copies = copies_[model];
-    if (copies <= 0) {
-      return settings_.first_copy_need_ + weight;
+  all_fit_ = models_mb <= settings_.max_fit_share_ * pass.memory_mb_;
+  if (pass.all_known_) {  // else a target that has not reported may hold a copy
+    // Places models in descending order of need. One model may get several
+    // copies in succession while its need is the largest: a shift of demand
+    // requires many copies of one model at once.
+    std::priority_queue<std::pair<double, std::size_t>> by_need;
+    for (std::size_t i = 0; i < pass.models_.size(); ++i) {
+      if (const auto need = NeedOfCopy(pass.models_[i]); need > 0) {
+        by_need.emplace(need, i);
+      }
     }
-    const auto share = weight / static_cast<double>(copies);
-    return share > settings_.busy_copy_demand_ ? share : 0;
-  };
-  for (const auto& model : engine.models_) {
-    if (const auto missing = need_of(model.name_); missing > 0) {
-      by_need.emplace(missing, model.name_);
+    std::vector<int> placed(pass.models_.size());
+    while (!by_need.empty()) {
+      const auto index = by_need.top().second;
+      by_need.pop();
+      if (!PlaceCopy(engine, pass, index, now)) {
+        continue;
+      }
+      const auto need = NeedOfCopy(pass.models_[index]);
+      if (++placed[index] < settings_.max_copies_per_plan_ && need > 0) {
+        by_need.emplace(need, index);
+      }
     }
   }
-  std::map<std::string, int> placed;
-  while (!by_need.empty()) {
-    const auto model = by_need.top().second;
-    by_need.pop();
-    if (!PlaceCopy(service, engine, model, now)) {
-      continue;
-    }
-    const auto missing = need_of(model);
-    if (++placed[model] < settings_.max_copies_per_plan_ && missing > 0) {
-      by_need.emplace(missing, model);
-    }
+  copies_.clear();
+  for (const auto& model : pass.models_) {
+    copies_[model.spec_->name_] = model.copies_;
   }
 }
 
--- a/modules/baobab_gateway/peer_link.cc
+++ b/modules/baobab_gateway/peer_link.cc
@@ -61,6 +61,8 @@
             handlers_.on_load_update_(*update);
           } else if (const auto report = DecodePeerReport(bytes)) {
             handlers_.on_report_(*report);
+          } else if (const auto digest = DecodeFleetDigest(bytes)) {
+            handlers_.on_digest_(*digest);
           } else {
             ++unreadable_datagrams_;
             LogEvent(LogLevel::kWarning, "peer_report_unreadable")
--- a/modules/baobab_gateway/peer_link.h
+++ b/modules/baobab_gateway/peer_link.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "baobab_gateway/fleet_digest.h"
 #include "baobab_gateway/peer_report.h"
 
 namespace baobab::gateway {
@@ -22,6 +23,7 @@
   struct Handlers {
     std::function<void(const PeerReport&)> on_report_;
     std::function<void(const LoadUpdate&)> on_load_update_;
+    std::function<void(const FleetDigest&)> on_digest_;
   };
 
   /// Binds a UDP socket to `address`:`port` and starts to receive. `port` is
--- a/modules/baobab_gateway/peer_report.cc
+++ b/modules/baobab_gateway/peer_report.cc
@@ -1,7 +1,5 @@
 #include "baobab_gateway/peer_report.h"
 
-#include <algorithm>
-
 #include "baobab_base/step_error.h"
 #include "baobab_gateway/byte_codec.h"
 
@@ -21,21 +19,51 @@
 constexpr std::uint64_t kStopping = 2;
 constexpr std::uint64_t kStoreConnected = 4;
 constexpr std::uint64_t kHasStoreReadAge = 8;
+constexpr std::uint64_t kNeedsDigest = 16;
 
 auto EncodeFlags(const PeerReport& report) -> std::uint64_t {
   return (report.ready_ ? kReady : 0U) | (report.stopping_ ? kStopping : 0U) |
          (report.store_connected_ ? kStoreConnected : 0U) |
-         (report.store_read_age_ ? kHasStoreReadAge : 0U);
+         (report.store_read_age_ ? kHasStoreReadAge : 0U) |
+         (report.needs_digest_ ? kNeedsDigest : 0U);
+}
+
+auto EncodeLoad(ByteWriter& writer, const TargetLoad& load) -> void {
+  writer.WriteUnsigned(load.running_);
+  writer.WriteUnsigned(load.cache_tokens_);
+  writer.WriteUnsigned(load.pending_prefill_us_);
+  writer.WriteUnsigned(load.prefill_utilization_permille_);
 }
 
-/// Reads an unsigned integer. Values beyond 32 bits become the largest 32-bit
-/// value.
-auto ReadUint32(ByteReader& reader) -> std::uint32_t {
-  return static_cast<std::uint32_t>(
-      std::min<std::uint64_t>(reader.ReadUnsigned(), UINT32_MAX));
+auto DecodeLoad(ByteReader& reader) -> TargetLoad {
+  TargetLoad load;
+  load.running_ = reader.ReadUint32();
+  load.cache_tokens_ = reader.ReadUint32();
+  load.pending_prefill_us_ = reader.ReadUint32();
+  load.prefill_utilization_permille_ = reader.ReadUint32();
+  return load;
+}
+
+}  // namespace
+
+auto EncodeReportHeader(ByteWriter& writer, const PeerReport& report) -> void {
+  writer.WriteString(report.instance_);
+  writer.WriteSigned(report.incarnation_);
+  writer.WriteSigned(report.sequence_);
+  writer.WriteString(report.address_);
+  writer.WriteString(report.caller_address_);
+  writer.WriteString(report.zone_);
+  writer.WriteUnsigned(EncodeFlags(report));
+  writer.WriteSigned(report.manifest_version_);
+  writer.WriteSigned(report.routing_revision_);
+  writer.WriteSigned(report.fencing_token_);
+  writer.WriteUnsigned(report.cpu_permille_);
+  if (report.store_read_age_) {
+    writer.WriteSigned(report.store_read_age_->count());
+  }
 }
 
-auto DecodeHeader(ByteReader& reader, PeerReport& report) -> void {
+auto DecodeReportHeader(ByteReader& reader, PeerReport& report) -> void {
   report.instance_ = reader.ReadString();
   report.incarnation_ = reader.ReadSigned();
   report.sequence_ = reader.ReadSigned();
@@ -46,33 +74,16 @@
   report.ready_ = (flags & kReady) != 0;
   report.stopping_ = (flags & kStopping) != 0;
   report.store_connected_ = (flags & kStoreConnected) != 0;
+  report.needs_digest_ = (flags & kNeedsDigest) != 0;
   report.manifest_version_ = reader.ReadSigned();
   report.routing_revision_ = reader.ReadSigned();
   report.fencing_token_ = reader.ReadSigned();
-  report.cpu_permille_ = ReadUint32(reader);
+  report.cpu_permille_ = reader.ReadUint32();
   if ((flags & kHasStoreReadAge) != 0) {
     report.store_read_age_ = Duration(reader.ReadSigned());
   }
 }
 
-auto EncodeLoad(ByteWriter& writer, const TargetLoad& load) -> void {
-  writer.WriteUnsigned(load.running_);
-  writer.WriteUnsigned(load.cache_tokens_);
-  writer.WriteUnsigned(load.pending_prefill_us_);
-  writer.WriteUnsigned(load.prefill_utilization_permille_);
-}
-
-auto DecodeLoad(ByteReader& reader) -> TargetLoad {
-  TargetLoad load;
-  load.running_ = ReadUint32(reader);
-  load.cache_tokens_ = ReadUint32(reader);
-  load.pending_prefill_us_ = ReadUint32(reader);
-  load.prefill_utilization_permille_ = ReadUint32(reader);
-  return load;
-}
-
-}  // namespace
-
 auto EncodeLoadUpdate(const LoadUpdate& update) -> std::string {
   ByteWriter writer;
   writer.WriteString(kLoadUpdateMagic);
@@ -105,20 +116,7 @@
 auto EncodePeerReport(const PeerReport& report) -> std::string {
   ByteWriter writer;
   writer.WriteString(kReportMagic);
-  writer.WriteString(report.instance_);
-  writer.WriteSigned(report.incarnation_);
-  writer.WriteSigned(report.sequence_);
-  writer.WriteString(report.address_);
-  writer.WriteString(report.caller_address_);
-  writer.WriteString(report.zone_);
-  writer.WriteUnsigned(EncodeFlags(report));
-  writer.WriteSigned(report.manifest_version_);
-  writer.WriteSigned(report.routing_revision_);
-  writer.WriteSigned(report.fencing_token_);
-  writer.WriteUnsigned(report.cpu_permille_);
-  if (report.store_read_age_) {
-    writer.WriteSigned(report.store_read_age_->count());
-  }
+  EncodeReportHeader(writer, report);
   writer.WriteUnsigned(report.load_.size());
   for (const auto& [target, load] : report.load_) {
     writer.WriteString(target);
@@ -164,7 +162,7 @@
       return std::nullopt;
     }
     PeerReport report;
-    DecodeHeader(reader, report);
+    DecodeReportHeader(reader, report);
     for (auto remaining = reader.ReadCount(); remaining > 0; --remaining) {
       auto target = reader.ReadString();
       report.load_[std::move(target)] = DecodeLoad(reader);
@@ -184,7 +182,7 @@
       missing.service_ = reader.ReadString();
       missing.model_ = reader.ReadString();
       missing.adapter_ = reader.ReadString();
-      missing.waiting_ = ReadUint32(reader);
+      missing.waiting_ = reader.ReadUint32();
       report.missing_adapters_.push_back(std::move(missing));
     }
     for (auto remaining = reader.ReadCount(); remaining > 0; --remaining) {
--- a/modules/baobab_gateway/peer_report.h
+++ b/modules/baobab_gateway/peer_report.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "baobab_gateway/byte_codec.h"
 #include "baobab_gateway/dispatcher.h"
 #include "baobab_gateway/target_load.h"
 
@@ -44,6 +45,9 @@
   /// instance, which reads the store for its peers.
   std::optional<Duration> store_read_age_;
   bool store_connected_ = false;  ///< The store responded recently.
+  /// The instance knows no coordinator; the receiver replies with the digest
+  /// that it uses itself.
+  bool needs_digest_ = false;
   /// CPU share of the instance in thousandths of a core.
   std::uint32_t cpu_permille_ = 0;
   /// Fencing token of the order lease if the instance holds it, otherwise 0.
@@ -83,6 +87,14 @@
 [[nodiscard]] auto DecodeLoadUpdate(std::string_view bytes)
     -> std::optional<LoadUpdate>;
 
+/// Writes the fields of a report that describe its sender: all before `load_`
+/// except `recent_orders_`.
+auto EncodeReportHeader(ByteWriter& writer, const PeerReport& report) -> void;
+
+/// Reads the fields that EncodeReportHeader wrote. Throws StepError if the
+/// bytes end before them.
+auto DecodeReportHeader(ByteReader& reader, PeerReport& report) -> void;
+
 /// Encodes a report as the payload of a datagram.
 [[nodiscard]] auto EncodePeerReport(const PeerReport& report) -> std::string;
 
--- a/modules/baobab_gateway/read_schedule.h
+++ b/modules/baobab_gateway/read_schedule.h
@@ -1,11 +1,21 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 
 #include "baobab_base/time_types.h"
 
 namespace baobab::gateway {
 
+/// How an instance learns about changes of the store.
+enum class StoreReadRole : std::uint8_t {
+  kWatching,  ///< Reads every change at once, for its peers.
+  kActive,  ///< Sends requests to targets; reads when a peer reports a change.
+  /// Gets hardly any requests. Coordinators tell it which targets are leaving;
+  /// it reads the rest rarely.
+  kStandby,
+};
+
 /// Decides when an instance next reads changes from the store.
 ///
 /// Limits the number of store calls in a large fleet: a few instances, the
@@ -24,6 +34,10 @@
   /// triggers: when a fleet starts, targets register one after the other, and
   /// each registration would otherwise cause a call of every instance.
   static constexpr Duration kMinHintInterval = std::chrono::milliseconds(500);
+  /// The same for a standby and changes other than a newer manifest. During a
+  /// release of hundreds of targets, with kMinHintInterval 280 standbys would
+  /// call the store 560 times per second.
+  static constexpr Duration kMinStandbyHintInterval = std::chrono::seconds(6);
   /// Maximum time without a confirmation. Must stay below the 2 s after which
   /// sites expect that a leaving target gets no more requests.
   static constexpr Duration kMaxUnconfirmedTime =
@@ -32,15 +46,18 @@
   /// such as the loaded models of a target, are reported to peers only once,
   /// and that report may be lost.
   static constexpr Duration kMaxReadInterval = std::chrono::seconds(5);
+  /// The same for a standby. Below the 20 s for which sites keep the history of
+  /// changes, after which all entries must be listed again.
+  static constexpr Duration kMaxStandbyReadInterval = std::chrono::seconds(12);
 
-  /// Sets whether this instance is a watching instance.
-  auto SetWatchingInstance(bool reader) -> void { reader_ = reader; }
-  [[nodiscard]] auto is_watching_instance() const -> bool { return reader_; }
+  auto SetRole(StoreReadRole role) -> void { role_ = role; }
+  [[nodiscard]] auto role() const -> StoreReadRole { return role_; }
 
   /// Records that this instance read the store at `now`.
   auto OnRead(TimePoint now) -> void {
     read_at_ = now;
     hinted_ = false;
+    manifest_hinted_ = false;
     confirmed_at_ = std::max(confirmed_at_, now);
   }
 
@@ -54,19 +71,30 @@
   /// instance has not read yet.
   auto OnNewerRevisionReported() -> void { hinted_ = true; }
 
+  /// Records that a peer reported a newer manifest than this instance has.
+  auto OnNewerManifestReported() -> void { manifest_hinted_ = true; }
+
   /// Returns the time of the next read.
   [[nodiscard]] auto NextRead() const -> TimePoint {
-    if (reader_) {
+    if (role_ == StoreReadRole::kWatching) {
       return read_at_ + kWatchingInstanceReadInterval;
     }
-    const auto next = std::min(read_at_ + kMaxReadInterval,
-                               confirmed_at_ + kMaxUnconfirmedTime);
-    return hinted_ ? std::min(next, read_at_ + kMinHintInterval) : next;
+    const bool standby = role_ == StoreReadRole::kStandby;
+    auto next = std::min(
+        read_at_ + (standby ? kMaxStandbyReadInterval : kMaxReadInterval),
+        confirmed_at_ + kMaxUnconfirmedTime);
+    if (hinted_) {
+      next = std::min(next, read_at_ + (standby ? kMinStandbyHintInterval
+                                                : kMinHintInterval));
+    }
+    return manifest_hinted_ ? std::min(next, read_at_ + kMinHintInterval)
+                            : next;
   }
 
  private:
-  bool reader_ = false;
+  StoreReadRole role_ = StoreReadRole::kActive;
   bool hinted_ = false;
+  bool manifest_hinted_ = false;
   TimePoint read_at_{};
   TimePoint confirmed_at_{};
 };
--- a/modules/baobab_gateway/read_schedule_test.cc
+++ b/modules/baobab_gateway/read_schedule_test.cc
@@ -16,22 +16,27 @@
           "[gateway]") {
   struct Case {
     const char* what_;
-    bool reader_;
+    StoreReadRole role_;
     Duration last_confirmation_;  // after the read; sent every 600 ms
     Duration reads_after_;
   };
   const auto test = GENERATE(values<Case>({
-      {"watching instance", true, seconds(0),
+      {"watching instance", StoreReadRole::kWatching, seconds(0),
        ReadSchedule::kWatchingInstanceReadInterval},
-      {"no confirmation", false, seconds(0), ReadSchedule::kMaxUnconfirmedTime},
-      {"one confirmation", false, milliseconds(600),
+      {"no confirmation", StoreReadRole::kActive, seconds(0),
+       ReadSchedule::kMaxUnconfirmedTime},
+      {"one confirmation", StoreReadRole::kActive, milliseconds(600),
        milliseconds(600) + ReadSchedule::kMaxUnconfirmedTime},
-      {"regular confirmations", false, seconds(60),
+      {"regular confirmations", StoreReadRole::kActive, seconds(60),
        ReadSchedule::kMaxReadInterval},
+      {"standby, no confirmation", StoreReadRole::kStandby, seconds(0),
+       ReadSchedule::kMaxUnconfirmedTime},
+      {"standby, regular confirmations", StoreReadRole::kStandby, seconds(60),
+       ReadSchedule::kMaxStandbyReadInterval},
   }));
   INFO(test.what_);
   ReadSchedule schedule;
-  schedule.SetWatchingInstance(test.reader_);
+  schedule.SetRole(test.role_);
   const TimePoint start{seconds(100)};
   schedule.OnRead(start);
   auto now = start;
@@ -62,11 +67,28 @@
         start + seconds(1) + ReadSchedule::kMaxUnconfirmedTime);
 }
 
+// Guards against hundreds of standbys that call the store for each change of a
+// release, and against a standby that applies a new manifest too late.
+TEST_CASE("A standby reads at once only for a newer manifest", "[gateway]") {
+  const auto manifest = GENERATE(false, true);
+  ReadSchedule schedule;
+  schedule.SetRole(StoreReadRole::kStandby);
+  const TimePoint start{seconds(100)};
+  schedule.OnRead(start);
+  schedule.OnLocalCopyConfirmed(start + seconds(10));
+  schedule.OnNewerRevisionReported();
+  if (manifest) {
+    schedule.OnNewerManifestReported();
+  }
+  CHECK(schedule.NextRead() ==
+        start + (manifest ? ReadSchedule::kMinHintInterval
+                          : ReadSchedule::kMinStandbyHintInterval));
+}
+
 // Guards against a shorter read interval after a confirmation for a time before
 // the last read.
 TEST_CASE("A confirmation of an earlier time has no effect", "[gateway]") {
   ReadSchedule schedule;
-  schedule.SetWatchingInstance(false);
   const TimePoint start{seconds(100)};
   schedule.OnRead(start);
   schedule.OnLocalCopyConfirmed(start - seconds(1));
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -126,13 +126,14 @@
     Dispatch();
   }
 
-  /// Sets the number of instances that share the retry budget and the
-  /// connections of each target.
-  auto SetInstanceCount(std::size_t instances) -> void {
-    retries_.SetInstanceCount(instances);
+  /// Sets among how many instances the retry budget and the connections of each
+  /// target are divided.
+  auto SetInstanceCount(std::size_t sharing_retries,
+                        std::size_t sharing_connections) -> void {
+    retries_.SetInstanceCount(sharing_retries);
     if (manifest_) {
       pool_->set_idle_per_target(
-          IdleConnectionsPerTarget(manifest_->services_, instances));
+          IdleConnectionsPerTarget(manifest_->services_, sharing_connections));
     }
   }
 
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -12,11 +12,14 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "baobab_base/log.h"
 #include "baobab_base/random_source.h"
 #include "baobab_base/step_error.h"
 #include "baobab_base/time_types.h"
+#include "baobab_gateway/fleet_digest.h"
+#include "baobab_gateway/leaving_target_log.h"
 #include "baobab_gateway/manifest.h"
 #include "baobab_gateway/read_schedule.h"
 #include "baobab_gateway/store_outage_detector.h"
@@ -118,19 +121,18 @@
     return routing_revision_;
   }
 
-  /// Sets whether this instance is a watching instance, which reads every
-  /// change of the store immediately and reports the routing revision to its
-  /// peers. An instance that becomes one reads the store immediately.
-  auto SetWatchingInstance(bool reader) -> void {
-    const bool becomes_reader = reader && !schedule_.is_watching_instance();
-    schedule_.SetWatchingInstance(reader);
-    if (becomes_reader && read_scheduled_) {
+  /// Sets how this instance learns about changes. An instance that takes a role
+  /// in which it reads more often reads the store immediately.
+  auto SetReadRole(StoreReadRole role) -> void {
+    const bool reads_now = role < schedule_.role();
+    schedule_.SetRole(role);
+    if (reads_now && read_scheduled_) {
       read_scheduled_ = false;
       Watch();
     }
   }
   [[nodiscard]] auto is_watching_instance() const -> bool {
-    return schedule_.is_watching_instance();
+    return schedule_.role() == StoreReadRole::kWatching;
   }
   /// Returns when the store last responded to a read of this instance.
   [[nodiscard]] auto read_at() const -> TimePoint {
@@ -156,6 +158,44 @@
     }
   }
 
+  /// Handles the manifest version that a peer reported: if it is newer than the
+  /// known one, the next read is moved forward.
+  auto OnPeerManifestVersion(std::int64_t version) -> void {
+    if (manifest_ && version > manifest_->version_) {
+      schedule_.OnNewerManifestReported();
+      if (read_scheduled_) {
+        ScheduleRead();
+      }
+    }
+  }
+
+  /// Handles the leaving targets in a digest: `targets` lists all that began to
+  /// leave after the revision `complete_after`, up to the time `read_at` at
+  /// which the coordinator last read the store. They get no more requests. If
+  /// the local copy is not older than `complete_after`, this confirms it.
+  auto OnLeavingTargets(const std::vector<LeavingTarget>& targets,
+                        std::int64_t complete_after,
+                        std::optional<TimePoint> read_at) -> void {
+    for (const auto& leaving : targets) {
+      if (registry_.MarkLeaving(leaving.target_, leaving.revision_)) {
+        LogEvent(LogLevel::kInfo, "target_leaving")
+            .With("target", leaving.target_)
+            .With("revision", leaving.revision_)
+            .With("source", "peer");
+        targets_changed_ = true;
+      }
+    }
+    if (read_at && revision_ >= complete_after) {
+      schedule_.OnLocalCopyConfirmed(*read_at);
+    }
+    NotifyHandlers();
+  }
+
+  /// Returns the targets that began to leave recently, for digests.
+  [[nodiscard]] auto leaving_targets() const -> const LeavingTargetLog& {
+    return leaving_log_;
+  }
+
   /// Applies a manifest that a peer sent, if it is newer than the known one.
   /// `text` is the value of its store entry.
   auto AdoptManifest(const std::string& text) -> void {
@@ -232,6 +272,12 @@
       handlers_.on_own_entry_(removed);
     }
     revision_ = list_revision_;
+    leaving_log_.OnListing(revision_);
+    if (!targets_known_) {
+      LogEvent(LogLevel::kInfo, "targets_listed")
+          .With("targets", registry_.entries().size())
+          .With("revision", revision_);
+    }
     targets_known_ = true;
     targets_changed_ = true;
     NotifyHandlers();
@@ -242,8 +288,7 @@
   }
 
   auto Watch() -> void {
-    const auto wait =
-        schedule_.is_watching_instance() ? kWatchTimeout : kFetchTimeout;
+    const auto wait = is_watching_instance() ? kWatchTimeout : kFetchTimeout;
     store_.Watch("", revision_, wait, [this](auto result) {
       if (const auto* failure = std::get_if<StoreFailure>(&result)) {
         if (*failure == StoreFailure::kCompacted) {
@@ -266,7 +311,7 @@
       revision_ = std::max(revision_, listing.revision_);
       NotifyHandlers();
       schedule_.OnRead(Now());
-      if (listing.entries_.empty() && schedule_.is_watching_instance()) {
+      if (listing.entries_.empty() && is_watching_instance()) {
         Watch();
         return;
       }
@@ -319,6 +364,7 @@
         LogEvent(LogLevel::kInfo, "target_gone")
             .With("target", id)
             .With("revision", entry.revision_);
+        leaving_log_.Add(id, entry.revision_, Now());
         registry_.Remove(id, entry.revision_);
         raw_targets_.erase(id);
       }
@@ -370,9 +416,14 @@
         // Changes of the loaded models and adapters do not affect the routing
         // revision: the order lease holder reports them to all instances.
         RecordRoutingChange(revision);
+        if (registration.draining_) {
+          leaving_log_.Add(id, revision, Now());
+        }
       }
-      if (known == nullptr ||
-          known->registration_.draining_ != registration.draining_) {
+      // The first listing of hundreds of targets is logged as one line.
+      if (targets_known_ &&
+          (known == nullptr ||
+           known->registration_.draining_ != registration.draining_)) {
         LogEvent(LogLevel::kInfo, "target_registered")
             .With("target", id)
             .With("service", registration.service_)
@@ -444,6 +495,7 @@
         LogEvent(LogLevel::kInfo, "target_gone")
             .With("target", id)
             .With("reason", "grace_period_ended");
+        leaving_log_.Add(id, routing_revision_, Now());
         raw_targets_.erase(id);
         targets_changed_ = true;
       }
@@ -482,6 +534,7 @@
   std::int64_t list_revision_ = 0;
   std::int64_t routing_revision_ = 0;
   ReadSchedule schedule_;
+  LeavingTargetLog leaving_log_;
   bool read_scheduled_ = false;
   bool manifest_changed_ = false;
   bool targets_changed_ = false;
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -147,7 +147,7 @@
     "reads keep the bound",
     "[gateway]") {
   Fixture fixture;
-  fixture.sync_.SetWatchingInstance(false);
+  fixture.sync_.SetReadRole(StoreReadRole::kActive);
   fixture.List({{"config", "5", 10, 0, false}}, 20);
   fixture.Change({{"targets/a", "ready", 21, 0, false}}, 21);
   CHECK_FALSE(fixture.store_.watch_);
@@ -173,13 +173,53 @@
 // read is scheduled much later, and does not read the store until then.
 TEST_CASE("A new watching instance reads the store at once", "[gateway]") {
   Fixture fixture;
-  fixture.sync_.SetWatchingInstance(false);
+  fixture.sync_.SetReadRole(StoreReadRole::kActive);
   fixture.List({{"config", "5", 10, 0, false}}, 20);
   fixture.Change({{"targets/a", "ready", 21, 0, false}}, 21);
   CHECK_FALSE(fixture.store_.watch_);
-  fixture.sync_.SetWatchingInstance(true);
+  fixture.sync_.SetReadRole(StoreReadRole::kWatching);
   CHECK(static_cast<bool>(fixture.store_.watch_));
 }
 
+// Guards against a standby that keeps sending requests to a target that left
+// after its last read of the store, and against digests that confirm a local
+// copy although changes before them are unknown.
+TEST_CASE("A standby learns of leaving targets from digests", "[gateway]") {
+  struct Case {
+    const char* what_;
+    std::int64_t complete_after_;
+    std::int64_t left_at_;
+    bool leaving_;
+    bool reads_;  // within the time after which an unconfirmed copy is read
+  };
+  const auto test = GENERATE(values<Case>({
+      {"left after the last read", 15, 30, true, false},
+      {"registered again since then", 15, 10, false, false},
+      {"an earlier change may be missing", 25, 30, true, true},
+  }));
+  INFO(test.what_);
+  Fixture fixture;
+  fixture.sync_.SetReadRole(StoreReadRole::kStandby);
+  fixture.List(
+      {{"config", "5", 10, 0, false}, {"targets/a", "ready", 11, 0, false}},
+      20);
+  fixture.Change({}, 20);
+  const auto confirm = [&] {
+    fixture.sync_.OnLeavingTargets({{"a", test.left_at_}, {"unknown", 31}},
+                                   test.complete_after_,
+                                   std::chrono::time_point_cast<Duration>(
+                                       std::chrono::steady_clock::now()));
+  };
+  confirm();
+  CHECK(fixture.sync_.registry().Find("a")->registration_.draining_ ==
+        test.leaving_);
+  for (int i = 0; i < 16; ++i) {
+    fixture.io_.restart();
+    fixture.io_.run_for(std::chrono::milliseconds(100));
+    confirm();
+  }
+  CHECK(static_cast<bool>(fixture.store_.watch_) == test.reads_);
+}
+
 }  // namespace
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/target_registry.h
+++ b/modules/baobab_gateway/target_registry.h
@@ -56,6 +56,18 @@
     }
   }
 
+  /// Marks `id` as leaving, as a peer read it from the store at `revision`.
+  /// Returns false if that is known already or the known revision is newer.
+  auto MarkLeaving(const std::string& id, std::int64_t revision) -> bool {
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.registration_.draining_ ||
+        found->second.revision_ > revision) {
+      return false;
+    }
+    found->second.registration_.draining_ = true;
+    return true;
+  }
+
   /// Removes the entry of `id` because its content cannot be decoded.
   auto Discard(const std::string& id) -> void { entries_.erase(id); }
 
