Bounded responses, stops without cut requests, suspensions, one guarded handler at a time

Cause, by test: a late copy of a response without a known id was taken for the response to an order; a target that sends a byte now and then held a call for ever; bodies and incomplete events grew without bound; requests in the backlog or in an unread socket were reset at a stop; a suspended process trusted load reports and store confirmations that had aged meanwhile; the models of a silent engine were loaded again; an exception in one handler ended the process. Change: echoed ids are matched for orders too, on a pool of their own; a total time per whole exchange; BufferBudget (a quarter of the memory, 8 MB a response); EventStream does not search bytes twice; AcceptPending; SuspensionDetector; registered models count until an engine reports; guards around handlers.

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -375,6 +375,14 @@
   }
 }
 
+auto Dispatcher::OnSuspended(Duration time) -> void {
+  peers_.OnSuspended(time);
+  for (auto& [id, waiting] : queue_) {
+    waiting.item_.objective_at_ -= time;
+    waiting.item_.deadline_ -= time;
+  }
+}
+
 auto Dispatcher::Forget(WorkId id) -> void {
   queue_.erase(id);
   Release(id);
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -208,6 +208,9 @@
                         const TargetLoad& load, TimePoint now) -> void {
     peers_.UpdateTarget(peer, target, load, now);
   }
+  /// Records that the process was suspended for `time`: the load reports are
+  /// older, and the callers of waiting requests have less time left.
+  auto OnSuspended(Duration time) -> void;
   /// Removes the load reports of peers that are older than
   /// PeerLoad::kMaxReportAge.
   auto ExpirePeers(TimePoint now) -> void { peers_.Expire(now); }
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <sstream>
@@ -30,6 +31,7 @@
 #include "baobab_gateway/report_intervals.h"
 #include "baobab_gateway/request_gateway.h"
 #include "baobab_gateway/state_sync.h"
+#include "baobab_gateway/suspension_detector.h"
 #include "baobab_http/http_server.h"
 #include "baobab_targets/whole_exchange.h"
 
@@ -84,6 +86,9 @@
   /// interval and the timeouts of these requests.
   static constexpr Duration kPeerStateInterval = std::chrono::milliseconds(400);
   static constexpr std::size_t kMaxPeerStateBytes = std::size_t{8} << 20;
+  /// Idle connections for orders: one call to a target is made at a time.
+  static constexpr std::size_t kOrderConnectionsPerTarget = 1;
+  static constexpr Duration kOrderConnectionIdleTime = std::chrono::seconds(4);
   static constexpr const char* kStorePrefix = "baobab/";
   static constexpr const char* kInstancesPrefix = "baobab/instances/";
   static constexpr const char* kOrderHolderKey = "baobab/orders";
@@ -104,7 +109,11 @@
         holder_(io, store_, kOrderHolderKey, settings_.instance_,
                 OwnerId(settings_.instance_, incarnation_),
                 settings_.order_handover_interval_, Planner(settings_),
-                gateway_.pool(), metrics_,
+                // Not the pool of requests: a late copy of a response to an
+                // order must not be taken for the response to a request.
+                std::make_shared<ConnectionPool>(io, kOrderConnectionsPerTarget,
+                                                 kOrderConnectionIdleTime),
+                metrics_,
                 {[this] { ScheduleUrgentReport(kReportDelayAfterOrder); },
                  [this] {
                    urgent_report_to_all_ = true;
@@ -139,6 +148,7 @@
     Serve(settings_.control_endpoint_, [this](const HttpRequest& request) {
       return OnStateOrMetricsRequest(request);
     });
+    gateway_.SetDispatchCheck([this] { return MayDispatch(); });
     gateway_.SetMissingAdaptersHandler([this] { OnMissingAdaptersChanged(); });
     gateway_.SetLoadChangedHandler(
         [this](const std::set<std::string>& targets) {
@@ -328,6 +338,14 @@
 
   auto Register() -> void;
 
+  /// Checks whether the process was suspended, after which all that it knows is
+  /// older than its steady clock says.
+  auto CheckSuspension() -> void;
+
+  /// Returns false for a short time after a suspension, until the store was
+  /// read: targets may have left meanwhile.
+  [[nodiscard]] auto MayDispatch() -> bool;
+
   auto ScheduleRegistration(Duration delay) -> void;
 
   /// Requests the state from a random peer, and again after kPeerStateInterval
@@ -345,6 +363,9 @@
   /// Maximum time that a report usually takes from its creation to its receipt,
   /// including delays in the sending process.
   static constexpr Duration kMaxReportDelay = std::chrono::milliseconds(150);
+  /// Maximum time for which requests wait after a suspension for the store to
+  /// be read: a read takes some milliseconds, and the store may be unreachable.
+  static constexpr Duration kMaxResumeWait = std::chrono::milliseconds(400);
   /// Part of the retry slack that all entry instances share, and the part that
   /// all others share. Their sum is below 1 because the set of entry instances
   /// may change within the window of the retry limit.
@@ -377,6 +398,8 @@
   std::int64_t sequence_ = 0;
   std::int64_t registration_lease_ = 0;
   TimePoint stop_started_at_{};
+  SuspensionDetector suspension_;
+  std::optional<TimePoint> resumed_at_;  // until the store was read since
   bool stopping_ = false;
   bool stopped_accepting_ = false;
   bool urgent_report_pending_ = false;
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -174,6 +174,7 @@
 
 template <class Platform>
 auto EntryInstance<Platform>::UpdateRoles(TimePoint now) -> void {
+  CheckSuspension();
   directory_.Expire(now);
   const bool was_entry = directory_.IsEntry();
   directory_.Update(
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -77,6 +77,34 @@
   });
 }
 
+template <class Platform>
+auto EntryInstance<Platform>::CheckSuspension() -> void {
+  const auto now = Now();
+  const auto suspended = suspension_.Check(BootTime(), now);
+  if (suspended == Duration::zero()) {
+    return;
+  }
+  LogEvent(LogLevel::kWarning, "process_suspended")
+      .With("ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(suspended)
+                .count());
+  resumed_at_ = now;
+  directory_.OnSuspended(suspended);
+  gateway_.OnSuspended(suspended);
+  gateway_.dispatcher().ExpirePeers(now);
+  sync_.OnSuspended(suspended);
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::MayDispatch() -> bool {
+  CheckSuspension();
+  if (resumed_at_ && (sync_.read_at() >= *resumed_at_ ||
+                      Now() - *resumed_at_ >= kMaxResumeWait)) {
+    resumed_at_.reset();
+  }
+  return !resumed_at_;
+}
+
 template <class Platform>
 auto EntryInstance<Platform>::RequestPeerState() -> void {
   std::vector<TargetEndpoint> candidates = settings_.seed_peers_;
--- a/modules/baobab_gateway/event_stream.cc
+++ b/modules/baobab_gateway/event_stream.cc
@@ -1,20 +1,28 @@
 #include "baobab_gateway/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
 namespace baobab::gateway {
 namespace {
 
+/// Length of the longer of the two ends of an event.
+constexpr std::size_t kMaxEndBytes = 4;
+
 /// Returns the position after the blank line that ends the first event in
-/// `text`, or npos if no event is complete.
-auto FindEventEnd(std::string_view text) -> std::size_t {
-  const auto lf_end = text.find("\n\n");
-  const auto crlf_end = text.find("\r\n\r\n");
-  if (crlf_end < lf_end) {
-    return crlf_end + 4;
+/// `text`, or npos if no event is complete. The end is searched from `from` on.
+auto FindEventEnd(std::string_view text, std::size_t from) -> std::size_t {
+  for (auto lf = text.find('\n', from); lf != std::string_view::npos;
+       lf = text.find('\n', lf + 1)) {
+    if (text.substr(lf).starts_with("\n\n")) {
+      return lf + 2;
+    }
+    if (lf > 0 && text.substr(lf - 1).starts_with("\r\n\r\n")) {
+      return lf + 3;
+    }
   }
-  return lf_end == std::string_view::npos ? lf_end : lf_end + 2;
+  return std::string_view::npos;
 }
 
 /// Returns the value of the first "id:" line of `event`, or nullopt if there is
@@ -45,10 +53,11 @@
   std::string complete;
   partial_ += bytes;
   std::string_view rest = partial_;
-  for (auto end = FindEventEnd(rest); end != std::string_view::npos;
-       end = FindEventEnd(rest)) {
+  for (auto end = FindEventEnd(rest, searched_); end != std::string_view::npos;
+       end = FindEventEnd(rest, 0)) {
     const auto event = rest.substr(0, end);
     rest.remove_prefix(end);
+    searched_ = 0;
     const auto id = ParseEventId(event);
     if (id && *id <= last_event_id_) {
       continue;
@@ -58,7 +67,8 @@
     }
     complete += event;
   }
-  partial_ = std::string(rest);
+  partial_.erase(0, partial_.size() - rest.size());
+  searched_ = partial_.size() - std::min(partial_.size(), kMaxEndBytes);
   return complete;
 }
 
--- a/modules/baobab_gateway/event_stream.h
+++ b/modules/baobab_gateway/event_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,7 +24,10 @@
 
   /// Discards an incomplete event. Called before another target resumes the
   /// stream.
-  auto DiscardPartialEvent() -> void { partial_.clear(); }
+  auto DiscardPartialEvent() -> void {
+    partial_.clear();
+    searched_ = 0;
+  }
 
   /// Returns the id of the last complete event. Before the first one, returns
   /// the id that was passed to the constructor (-1: none).
@@ -35,9 +39,16 @@
   [[nodiscard]] auto HasPartialEvent() const -> bool {
     return !partial_.empty();
   }
+  /// Returns the size of that part in bytes.
+  [[nodiscard]] auto partial_bytes() const -> std::size_t {
+    return partial_.size();
+  }
 
  private:
   std::string partial_;
+  // Number of leading bytes of partial_ that contain no end of an event. They
+  // are not searched again, so that the work for each byte is bounded.
+  std::size_t searched_ = 0;
   std::int64_t last_event_id_;
 };
 
--- a/modules/baobab_gateway/event_stream_test.cc
+++ b/modules/baobab_gateway/event_stream_test.cc
@@ -43,6 +43,21 @@
   CHECK(stream.HasPartialEvent() == test.partial_);
 }
 
+// Guards against work that grows with the square of an event's size, and
+// against an end that is missed because it arrives in two pieces.
+TEST_CASE("An event may arrive byte by byte", "[gateway]") {
+  const auto* end = GENERATE("\n\n", "\r\n\r\n");
+  const auto event = "id: 4\ndata: " + std::string(300'000, 'x') + end;
+  EventStream stream;
+  std::string received;
+  for (const char byte : event) {
+    received += stream.Feed({&byte, 1});
+  }
+  CHECK(received == event);
+  CHECK(stream.last_event_id() == 4);
+  CHECK(stream.partial_bytes() == 0);
+}
+
 TEST_CASE("A resumed stream discards the incomplete event", "[gateway]") {
   EventStream stream;
   CHECK(stream.Feed(Event(0) + "id: 1\nda") == Event(0));
--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -103,6 +103,16 @@
   return true;
 }
 
+auto InstanceDirectory::OnSuspended(Duration time) -> void {
+  for (auto& [name, instance] : instances_) {
+    instance.last_received_at_ -= time;
+    instance.healthy_since_ -= time;
+  }
+  for (auto& [name, received] : digests_) {
+    received.received_at_ -= time;
+  }
+}
+
 auto InstanceDirectory::Expire(TimePoint now) -> void {
   std::erase_if(instances_, [now](const auto& item) {
     const auto& instance = item.second;
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -130,6 +130,9 @@
   /// RecordReport does.
   [[nodiscard]] auto RecordDigest(const FleetDigest& digest, TimePoint now)
       -> bool;
+  /// Records that the process was suspended for `time`: the reports and digests
+  /// are older by this time.
+  auto OnSuspended(Duration time) -> void;
   /// Removes instances that are not registered, have sent nothing and were
   /// named in no digest for kRemovalTimeout.
   auto Expire(TimePoint now) -> void;
--- a/modules/baobab_gateway/instance_settings.h
+++ b/modules/baobab_gateway/instance_settings.h
@@ -37,6 +37,9 @@
   /// CPU share that this instance may use, in thousandths of a core.
   std::uint32_t cpu_permille_ = 1000;
 
+  /// Memory that this instance may use.
+  std::size_t memory_bytes_ = std::size_t{160} << 20;
+
   /// Handover interval: minimum time between the orders of two lease holders.
   Duration order_handover_interval_{};
   /// Time from the stop signal until the process is killed.
--- a/modules/baobab_gateway/order_planner_models.cc
+++ b/modules/baobab_gateway/order_planner_models.cc
@@ -169,6 +169,15 @@
     open.id_ = &id;
     open.state_ = &server;
     open.used_mb_ = UsedMb(server, engine);
+    if (server.models_.empty() && !server.report_read_) {
+      // An engine that does not respond is not necessarily gone: until its
+      // registration is, its models count as loaded.
+      for (const auto& registered : server.registration_.models_) {
+        if (auto* model = find(registered.name_)) {
+          ++model->copies_;
+        }
+      }
+    }
     for (const auto& [name, adapters] : server.models_) {
       if (auto* model = find(name)) {
         ++model->copies_;
--- a/modules/baobab_gateway/order_planner_test.cc
+++ b/modules/baobab_gateway/order_planner_test.cc
@@ -306,5 +306,65 @@
   CHECK(second != first);
 }
 
+// Guards against models that are loaded a second time because the engine that
+// has them is only slow to report, which takes memory from other models.
+TEST_CASE("The models of a registered engine that is silent are not replaced",
+          "[gateway]") {
+  const bool registered = GENERATE(true, false);
+  OrderPlanner planner{PlannerSettings()};
+  planner.SetManifest(MakeTestManifest({"m0", "m1"}));
+  TargetRegistry registry;
+  registry.Put(test::MakeEngine(0, {"m0"}), 1);
+  registry.Put(test::MakeEngine(1, registered ? std::vector<std::string>{"m1"}
+                                              : std::vector<std::string>{}),
+               2);
+  TimePoint now = TimePoint{} + seconds(100);
+  planner.SetTargets(registry, now);
+  planner.StartTerm(false, now);
+  int loads = 0;
+  const auto end = now + seconds(6);
+  for (; now < end; now += kStep) {
+    planner.OnPeerDemand("peer", {{"m0", 0.1}, {"m1", 0.1}}, {}, {}, now);
+    for (const auto& action : planner.Next(now)) {
+      if (action.kind_ == PlannerAction::Kind::kOrder) {
+        ++loads;
+        planner.OnNotSent(action.order_, now);
+      } else if (action.target_ == "t0") {
+        EngineReport report;
+        report.models_ = {{"m0", {}}};
+        planner.OnReport("t0", report, now);
+      } else {
+        planner.OnReportFailed(action.target_, now);
+      }
+    }
+  }
+  CHECK((loads == 0) == registered);
+}
+
+// Guards against plans that take longer than the interval between them on a
+// small instance. Counts comparisons instead of time: each model that needs a
+// copy is compared with each target once per copy.
+TEST_CASE("A plan for hundreds of engines and models places what is missing",
+          "[gateway]") {
+  constexpr std::size_t kEngines = 320;
+  constexpr std::size_t kAllModels = 532;
+  std::vector<std::vector<std::string>> placed;
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    placed.push_back({"m" + std::to_string(i),
+                      "m" + std::to_string((i + 212) % kAllModels)});
+  }
+  Fleet fleet(kAllModels, placed, 1, 0);
+  std::map<std::string, double> demand;
+  for (int i = 0; i < 40; ++i) {
+    demand["m" + std::to_string(i)] = 2.0 / (i + 1);
+  }
+  fleet.Run(seconds(20), demand);
+  CHECK(fleet.Copies("m0") >= 4);
+  CHECK(fleet.max_models_ <= kMaxModels);
+  for (const auto* model : {"m5", "m300", "m531"}) {
+    CHECK(fleet.Copies(model) >= 1);
+  }
+}
+
 }  // namespace
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/read_schedule.h
+++ b/modules/baobab_gateway/read_schedule.h
@@ -67,6 +67,13 @@
     confirmed_at_ = std::max(confirmed_at_, at);
   }
 
+  /// Records that the process was suspended for `time`, by which all that it
+  /// knows has aged.
+  auto OnSuspended(Duration time) -> void {
+    read_at_ -= time;
+    confirmed_at_ -= time;
+  }
+
   /// Records that a peer reported a change that affects routing and that this
   /// instance has not read yet.
   auto OnNewerRevisionReported() -> void { hinted_ = true; }
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -20,6 +20,7 @@
 #include "baobab_base/step_error.h"
 #include "baobab_base/time_types.h"
 #include "baobab_gateway/attempt_policy.h"
+#include "baobab_gateway/buffer_budget.h"
 #include "baobab_gateway/dispatcher.h"
 #include "baobab_gateway/event_stream.h"
 #include "baobab_gateway/gateway_metrics.h"
@@ -78,6 +79,7 @@
         defer_timer_(io),
         dispatcher_(DispatchSettings(), settings.zone_, std::random_device{}()),
         retries_(settings.retries_),
+        buffers_(settings.memory_bytes_),
         random_(std::random_device{}()) {}
 
   /// Idle connections to keep per target. A target serves one request at a time
@@ -94,8 +96,6 @@
   static constexpr Duration kDispatchInterval = std::chrono::milliseconds(15);
   /// Timeout for connecting to a target, which is in the same region.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-  /// Largest response that is buffered until it is complete.
-  static constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{8} << 20;
 
   /// Binds `endpoint` and accepts connections of callers. Throws StepError if
   /// the address cannot be bound.
@@ -184,8 +184,10 @@
     for (const auto& rejection : dispatcher_.RejectInfeasible(now)) {
       Reject(rejection);
     }
-    for (const auto& assignment : dispatcher_.Assign(now)) {
-      StartAttempt(assignment);
+    if (!may_dispatch_ || may_dispatch_()) {
+      for (const auto& assignment : dispatcher_.Assign(now)) {
+        StartAttempt(assignment);
+      }
     }
     NotifyLoadChanged();
     if (on_missing_adapters_ && dispatcher_.waiting() > 0) {
@@ -201,6 +203,24 @@
     on_missing_adapters_ = std::move(handler);
   }
 
+  /// Sets the check that is made before requests are sent. While it returns
+  /// false, requests stay in the queue.
+  auto SetDispatchCheck(std::function<bool()> may_dispatch) -> void {
+    may_dispatch_ = std::move(may_dispatch);
+  }
+
+  /// Records that the process was suspended for `time`: the callers have less
+  /// time left by it.
+  auto OnSuspended(Duration time) -> void {
+    dispatcher_.OnSuspended(time);
+    time_limits_.clear();
+    for (auto& [id, active] : active_) {
+      active.item_.objective_at_ -= time;
+      active.item_.deadline_ -= time;
+      time_limits_.insert({active.item_.deadline_, id});
+    }
+  }
+
   /// Sets the handler that receives the targets whose load changed: a long
   /// prompt was sent to them, or they completed the prefill of one.
   auto SetLoadChangedHandler(
@@ -225,7 +245,8 @@
     bool response_started_ = false;  // part was sent to the caller
     std::optional<TargetResponseHead> head_;
     std::string body_;
-    Duration first_event_{};  // from arrival to the first event
+    BufferBudget::Share buffered_;  // of body_ or of an incomplete event
+    Duration first_event_{};        // from arrival to the first event
     TimePoint last_event_at_{};
     Duration longest_event_gap_{};  // between writes to the caller
     EventStream events_;
@@ -277,6 +298,15 @@
 
   auto OnEnd(WorkId id) -> void;
 
+  /// Ends the attempt of a response that exceeds its share of the memory for
+  /// buffered responses.
+  auto OnResponseTooLarge(WorkId id) -> void;
+
+  /// Runs `action` for the request `id`. If it throws, the request ends with an
+  /// error: the process and the other requests continue.
+  template <class Action>
+  auto Guard(WorkId id, const char* step, Action action) -> void;
+
   /// Handles a response of a target that did not run the request. Retries if
   /// possible; otherwise responds with an error.
   auto OnTargetRefused(WorkId id, const TargetResponseInfo& info) -> void;
@@ -403,7 +433,9 @@
   const TargetRegistry* registry_ = nullptr;
   Dispatcher dispatcher_;
   RetryLedger retries_;
+  BufferBudget buffers_;
   Random random_;
+  std::function<bool()> may_dispatch_;
   std::function<void()> on_missing_adapters_;
   std::function<void(const std::set<std::string>&)> on_load_changed_;
   WorkId last_id_ = 0;
--- a/modules/baobab_gateway/request_gateway_admission.h
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -38,10 +38,32 @@
     return;
   }
   const auto now = Now();
-  if (!HasRoutesAndTargets() && !refusing_requests_) {
-    DeferRequest(exchange, std::move(request), std::move(ingress), now);
-  } else {
-    Admit(exchange, std::move(request), std::move(ingress), now);
+  const auto request_id = ingress.id_;
+  try {
+    if (!HasRoutesAndTargets() && !refusing_requests_) {
+      DeferRequest(exchange, std::move(request), std::move(ingress), now);
+    } else {
+      Admit(exchange, std::move(request), std::move(ingress), now);
+    }
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kError, "request_handler_failed")
+        .With("id", request_id)
+        .With("step", "admit")
+        .With("reason", error.what());
+    metrics_.Add("gateway_handler_failures_total", Label("step", "admit"));
+    const auto known = by_exchange_.find(exchange);
+    const bool sent = known != by_exchange_.end() &&
+                      active_.count(known->second) > 0 &&
+                      active_.at(known->second).attempt_ != nullptr;
+    if (known != by_exchange_.end() && active_.count(known->second) > 0) {
+      FinishWithRefusal(
+          known->second,
+          sent ? RefusalReason::kTargetFailed : RefusalReason::kNotRun,
+          "internal_error");
+    } else {
+      Refuse(exchange, request_id, RefusalReason::kNotRun, "internal_error",
+             kDefaultRetryAfter);
+    }
   }
 }
 
--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -33,17 +33,20 @@
   const auto id = assignment.id_;
   ExchangeEvents events;
   events.on_head_ = [this, id](const TargetResponseHead& head) {
-    OnHead(id, head);
+    Guard(id, "head", [&] { OnHead(id, head); });
   };
-  events.on_data_ = [this, id](std::string_view data) { OnData(id, data); };
-  events.on_end_ = [this, id]() { OnEnd(id); };
+  events.on_data_ = [this, id](std::string_view data) {
+    Guard(id, "data", [&] { OnData(id, data); });
+  };
+  events.on_end_ = [this, id]() { Guard(id, "end", [&] { OnEnd(id); }); };
   events.on_failure_ = [this, id](const AttemptFailure& failure) {
-    OnFailure(id, failure);
+    Guard(id, "failure", [&] { OnFailure(id, failure); });
   };
   active.target_ = assignment.target_;
   active.head_.reset();
   active.body_.clear();
   active.events_.DiscardPartialEvent();
+  active.buffered_ = BufferBudget::Share(buffers_);
   active.sent_at_ = now;
   ++active.attempts_;
   LogEvent(LogLevel::kInfo, "request_sent")
@@ -80,9 +83,16 @@
   auto& active = found->second;
   if (!IsEventStream(active)) {
     active.body_ += data;
+    if (!active.buffered_.Resize(active.body_.size())) {
+      OnResponseTooLarge(id);
+    }
     return;
   }
   const auto events = active.events_.Feed(data);
+  if (!active.buffered_.Resize(active.events_.partial_bytes())) {
+    OnResponseTooLarge(id);
+    return;
+  }
   if (events.empty()) {
     return;
   }
@@ -107,6 +117,64 @@
   server_.Write(active.exchange_, events);
 }
 
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::OnResponseTooLarge(WorkId id) -> void {
+  auto& active = active_.at(id);
+  LogEvent(LogLevel::kWarning, "response_too_large")
+      .With("id", active.ingress_.id_)
+      .With("target", active.target_)
+      .With("bytes", active.body_.size() + active.events_.partial_bytes())
+      .With("buffered", buffers_.used());
+  metrics_.Add("gateway_oversized_responses_total", "");
+  active.attempt_->Cancel();
+  active.attempt_.reset();
+  active.body_.clear();
+  active.events_.DiscardPartialEvent();
+  (void)active.buffered_.Resize(0);
+  // Another target would probably send the same response.
+  active.may_have_run_ = true;
+  dispatcher_.OnErrorResponse(id);
+  if (active.response_started_) {
+    server_.AbortStream(active.exchange_);
+    Finish(id, "response_too_large", 0);
+  } else {
+    FinishWithRefusal(id, RefusalReason::kTargetFailed, "response_too_large");
+  }
+}
+
+template <RequestTranslator Codec>
+template <class Action>
+auto RequestGateway<Codec>::Guard(WorkId id, const char* step, Action action)
+    -> void {
+  try {
+    action();
+    return;
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kError, "request_handler_failed")
+        .With("step", step)
+        .With("reason", error.what());
+  }
+  metrics_.Add("gateway_handler_failures_total", Label("step", step));
+  const auto found = active_.find(id);
+  if (found == active_.end()) {
+    return;
+  }
+  auto& active = found->second;
+  const bool sent = active.attempt_ != nullptr || active.may_have_run_;
+  if (active.attempt_) {
+    active.attempt_->Cancel();
+    active.attempt_.reset();
+  }
+  if (active.response_started_) {
+    server_.AbortStream(active.exchange_);
+    Finish(id, "internal_error", 0);
+  } else {
+    FinishWithRefusal(
+        id, sent ? RefusalReason::kTargetFailed : RefusalReason::kNotRun,
+        "internal_error");
+  }
+}
+
 template <RequestTranslator Codec>
 auto RequestGateway<Codec>::OnEnd(WorkId id) -> void {
   const auto found = active_.find(id);
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -139,6 +139,16 @@
     return outage_.last_response_at();
   }
 
+  /// Records that the process was suspended for `time`. Reads the store at
+  /// once.
+  auto OnSuspended(Duration time) -> void {
+    schedule_.OnSuspended(time);
+    if (read_scheduled_) {
+      read_scheduled_ = false;
+      Watch();
+    }
+  }
+
   /// Handles the routing revision that a peer reported.
   ///
   /// If `revision` is newer than the local copy, the next read is moved
--- a/modules/baobab_gateway/target_load.h
+++ b/modules/baobab_gateway/target_load.h
@@ -73,6 +73,14 @@
     known = work;
   }
 
+  /// Records that the process was suspended for `time`: the reports are older
+  /// by this time.
+  auto OnSuspended(Duration time) -> void {
+    for (auto& [peer, report] : reports_) {
+      report.received_at_ -= time;
+    }
+  }
+
   /// Removes the reports that are older than kMaxReportAge.
   auto Expire(TimePoint now) -> void {
     std::erase_if(reports_, [this, now](const auto& item) {
--- a/modules/baobab_http/caller_session.h
+++ b/modules/baobab_http/caller_session.h
@@ -52,7 +52,7 @@
   auto Abort() -> void;
   /// Closes the connection at once.
   auto Close() -> void;
-  /// Closes the connection if no request is in progress.
+  /// Closes the connection if no request is in progress or has arrived.
   auto CloseIfIdle() -> void;
 
  private:
@@ -75,6 +75,8 @@
   auto OnWritten(Error error, std::size_t bytes) -> void;
   auto FinishExchange() -> void;
   auto Linger() -> void;
+  /// Returns true if bytes of a request have arrived that were not parsed yet.
+  [[nodiscard]] auto HasUnreadBytes() -> bool;
   auto ReportBlocked() -> void;
   auto Arm(Duration timeout) -> void;
 
--- a/modules/baobab_http/caller_session_write.cc
+++ b/modules/baobab_http/caller_session_write.cc
@@ -202,8 +202,14 @@
       });
 }
 
+auto CallerSession::HasUnreadBytes() -> bool {
+  Error error;
+  return buffer_.size() > 0 || (socket_.available(error) > 0 && !error);
+}
+
 auto CallerSession::CloseIfIdle() -> void {
-  if (!exchange_ && !writing_ && parser_ && !parser_->got_some()) {
+  if (!exchange_ && !writing_ && parser_ && !parser_->got_some() &&
+      !HasUnreadBytes()) {
     Close();
   }
 }
--- a/modules/baobab_http/http_server.cc
+++ b/modules/baobab_http/http_server.cc
@@ -56,6 +56,10 @@
   auto Accept() -> void;
   auto OnAccept(Error error, Tcp::socket socket) -> void;
   auto StopAccepting() -> void;
+  /// Accepts the connections that the system has already established: closing
+  /// the listener would reset them, with the requests that they carry.
+  auto AcceptPending() -> void;
+  auto StartSession(Tcp::socket socket) -> void;
   auto CloseAll() -> void;
   auto Find(ExchangeId exchange) -> std::shared_ptr<CallerSession>;
 
@@ -140,10 +144,7 @@
   if (sessions_.size() >= limits_.max_connections_) {
     RefuseConnection(std::move(socket));
   } else {
-    const auto session = std::make_shared<CallerSession>(
-        std::move(socket), limits_, weak_from_this());
-    sessions_[session.get()] = session;
-    session->Start();
+    StartSession(std::move(socket));
   }
   Accept();
 }
@@ -156,15 +157,39 @@
 
 auto HttpServer::Implementation::StopAccepting() -> void {
   closing_ = true;
-  Error ignored;
-  acceptor_.close(ignored);
-  retry_.cancel();
   const auto sessions = sessions_;
   for (const auto& [key, weak] : sessions) {
     if (const auto session = weak.lock()) {
       session->CloseIfIdle();
     }
   }
+  AcceptPending();
+  Error ignored;
+  acceptor_.close(ignored);
+  retry_.cancel();
+}
+
+auto HttpServer::Implementation::AcceptPending() -> void {
+  if (!acceptor_.is_open()) {
+    return;
+  }
+  Error error;
+  acceptor_.cancel(error);
+  acceptor_.non_blocking(true, error);
+  while (!error && sessions_.size() < limits_.max_connections_) {
+    Tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) {
+      StartSession(std::move(socket));
+    }
+  }
+}
+
+auto HttpServer::Implementation::StartSession(Tcp::socket socket) -> void {
+  const auto session = std::make_shared<CallerSession>(
+      std::move(socket), limits_, weak_from_this());
+  sessions_[session.get()] = session;
+  session->Start();
 }
 
 auto HttpServer::Implementation::CloseAll() -> void {
--- a/modules/baobab_http/http_server_test.cc
+++ b/modules/baobab_http/http_server_test.cc
@@ -251,5 +251,25 @@
   CHECK(text.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a planned stop that cuts off requests which have arrived and
+// were not read yet: on a connection that was accepted already, and on one that
+// only the system has established.
+TEST_CASE("Requests that have arrived at a stop are answered", "[http]") {
+  const bool accepted = GENERATE(true, false);
+  Fixture fixture;
+  fixture.answer_ = [&](ExchangeId exchange) {
+    fixture.server_.Respond(exchange, {});
+  };
+  auto socket = fixture.Connect();
+  if (accepted) {
+    fixture.RunUntil([&] { return fixture.server_.connections() == 1; });
+  }
+  Send(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  fixture.server_.StopAccepting();
+  const auto text = fixture.ReadAll(socket);
+  CHECK(text.starts_with("HTTP/1.1 200 OK"));
+  CHECK(text.find("Connection: close") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace baobab
--- a/modules/baobab_targets/target_exchange.cc
+++ b/modules/baobab_targets/target_exchange.cc
@@ -1,5 +1,6 @@
 #include "baobab_targets/target_exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -30,6 +31,9 @@
 
 constexpr std::size_t kReadBytes = std::size_t{4} * 1024;
 constexpr std::uint32_t kHeaderBytes = 16 * 1024;
+/// Upper bound on the bytes of responses to earlier requests that are skipped
+/// in one exchange. A target sends one such response, not an endless series.
+constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20;
 
 auto Serialize(const TargetRequest& request) -> std::string {
   http::request<http::empty_body> message;
@@ -118,6 +122,9 @@
   bool reading_ = false;
   bool timed_out_ = false;
   bool skipping_ = false;  // the response being read answers another request
+  std::size_t skipped_bytes_ = 0;
+  asio::steady_timer::time_point end_at_ =
+      asio::steady_timer::time_point::max();
   bool ended_ = false;
 };
 
@@ -130,6 +137,9 @@
 auto Exchange::Begin() -> void {
   outgoing_ = Serialize(request_);
   request_.body_.clear();
+  if (request_.timeouts_.total_ != Duration::max()) {
+    end_at_ = std::chrono::steady_clock::now() + request_.timeouts_.total_;
+  }
   if (!request_.new_connection_) {
     if (auto idle = pool_->Take(request_.endpoint_)) {
       socket_ = std::move(*idle);
@@ -149,7 +159,8 @@
 }
 
 auto Exchange::Arm(Duration timeout) -> void {
-  deadline_.expires_after(timeout);
+  deadline_.expires_at(
+      std::min(end_at_, std::chrono::steady_clock::now() + timeout));
   deadline_.async_wait([self = shared_from_this()](Error error) {
     if (!error && !self->ended_ &&
         self->deadline_.expiry() <= std::chrono::steady_clock::now()) {
@@ -245,6 +256,7 @@
   if (!request_.echo_header_.empty()) {
     const auto echoed = head.Header(request_.echo_header_);
     skipping_ = !echoed.empty() && echoed != request_.echo_value_;
+    skipped_bytes_ += skipping_ ? kReadBytes : 0;
   }
   if (!skipping_ && events_.on_head_) {
     events_.on_head_(head);
@@ -286,6 +298,11 @@
     return;
   }
   const auto size = piece_.size() - parser_->get().body().size;
+  skipped_bytes_ += skipping_ ? size : 0;
+  if (skipped_bytes_ > kMaxSkippedBytes) {
+    Fail("receive", http::error::body_limit);
+    return;
+  }
   if (size > 0 && !skipping_ && events_.on_data_) {
     events_.on_data_(std::string_view(piece_.data(), size));
   }
--- a/modules/baobab_targets/target_exchange.h
+++ b/modules/baobab_targets/target_exchange.h
@@ -24,6 +24,9 @@
   Duration head_ = std::chrono::seconds(60);
   /// Between two pieces of the body.
   Duration body_ = std::chrono::seconds(30);
+  /// From the start of the exchange to its end. Ends an exchange whose target
+  /// sends a byte now and then.
+  Duration total_ = Duration::max();
 };
 
 /// One request to a target.
@@ -38,9 +41,10 @@
   /// costs much: a pooled connection may have been closed by the target in the
   /// meantime, which shows only after bytes have left.
   bool new_connection_ = false;
-  /// Name of a header that the target echoes, and the value sent in it. A
-  /// response with another value answers an earlier request and is skipped.
-  /// Empty: responses are not matched.
+  /// Name of a header that the target echoes, and the value sent in it; an
+  /// empty value if the request does not contain the header. A response with
+  /// another value answers an earlier request and is skipped. With an empty
+  /// name, responses are not matched.
   std::string echo_header_;
   std::string echo_value_;
 };
--- a/modules/baobab_targets/target_exchange_test.cc
+++ b/modules/baobab_targets/target_exchange_test.cc
@@ -1,7 +1,10 @@
 #include "baobab_targets/target_exchange.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -128,6 +131,86 @@
   CHECK(fixture.peer_.accepted() == 2);
 }
 
+// Guards against a late second copy of a response that is taken for the
+// response to the next request on the connection, which may not have an id
+// itself, and against one without end that is skipped for ever.
+TEST_CASE("Responses to earlier requests are skipped", "[targets]") {
+  struct Case {
+    const char* what_;
+    std::string sent_id_;
+    std::string first_;  // the late copy
+    std::string body_;   // empty: the exchange fails
+  };
+  const std::string copy =
+      "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 5\r\n\r\nstale";
+  const auto test = GENERATE_COPY(values<Case>({
+      {"request with an id", "new", copy, "ok"},
+      {"request without an id", "", copy, "ok"},
+      {"two copies", "new", copy + copy, "ok"},
+      {"a copy without end", "new",
+       "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 9000000\r\n\r\n" +
+           std::string(2'000'000, 'x'),
+       ""},
+  }));
+  INFO(test.what_);
+  Fixture fixture([&test](ScriptedPeer::Connection& connection) {
+    auto text = std::make_shared<std::string>(
+        test.first_ + "HTTP/1.1 200 OK\r\n" +
+        (test.sent_id_.empty() ? "" : "Id: " + test.sent_id_ + "\r\n") +
+        "Content-Length: 2\r\n\r\nok");
+    asio::async_write(connection.socket_, asio::buffer(*text),
+                      [text](boost::system::error_code, std::size_t) {});
+  });
+  auto request = fixture.Request();
+  request.echo_header_ = "Id";
+  request.echo_value_ = test.sent_id_;
+  fixture.Run(std::move(request));
+  CHECK(fixture.ended_ == !test.body_.empty());
+  CHECK(fixture.body_ == test.body_);
+}
+
+// Guards against an exchange that never ends because its target sends a byte
+// now and then: the engine would get no further orders.
+TEST_CASE("A target that sends a byte now and then is given up", "[targets]") {
+  Fixture fixture([](ScriptedPeer::Connection& connection) {
+    Reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+  });
+  auto request = fixture.Request();
+  request.timeouts_.body_ = std::chrono::seconds(5);
+  request.timeouts_.total_ = std::chrono::milliseconds(200);
+  asio::steady_timer trickle(fixture.io_);
+  std::function<void()> send_byte = [&] {
+    trickle.expires_after(std::chrono::milliseconds(10));
+    trickle.async_wait([&](boost::system::error_code error) {
+      if (!error && fixture.peer_.accepted() > 0) {
+        boost::system::error_code ignored;
+        asio::write(fixture.peer_.connection(0).socket_, asio::buffer("x", 1),
+                    ignored);
+      }
+      send_byte();
+    });
+  };
+  send_byte();
+  fixture.Run(std::move(request));
+  REQUIRE(fixture.failure_);
+  CHECK(fixture.failure_->timed_out_);
+}
+
+// Guards against memory that grows with a head that never ends.
+TEST_CASE("A head without end is a failure", "[targets]") {
+  const auto* line = GENERATE("A: b\r\n", "HTTP/1.1 100 Continue\r\nA: b\r\n");
+  Fixture fixture([line](ScriptedPeer::Connection& connection) {
+    auto text = std::make_shared<std::string>("HTTP/1.1 200 OK\r\n");
+    for (int i = 0; i < 20'000; ++i) {
+      *text += line;
+    }
+    asio::async_write(connection.socket_, asio::buffer(*text),
+                      [text](boost::system::error_code, std::size_t) {});
+  });
+  fixture.Run(fixture.Request());
+  CHECK(fixture.failure_);
+}
+
 TEST_CASE("A paused exchange reads nothing until it is resumed", "[targets]") {
   Fixture fixture([](ScriptedPeer::Connection& connection) {
     Reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: " +
--- a/modules/baobab_targets/whole_exchange.cc
+++ b/modules/baobab_targets/whole_exchange.cc
@@ -39,6 +39,11 @@
   collector->events_ = std::move(events);
   collector->max_bytes_ = max_bytes;
   collector->peer_ = request.endpoint_.ToString();
+  auto& timeouts = request.timeouts_;
+  if (timeouts.total_ == Duration::max()) {
+    timeouts.total_ =
+        timeouts.connect_ + timeouts.send_ + timeouts.head_ + timeouts.body_;
+  }
   ExchangeEvents inner;
   inner.on_head_ = [collector](const TargetResponseHead& head) {
     collector->response_.head_ = head;
