Fetch shared parts of prompts from other engines; fewer store calls of standbys

Change: the dispatcher names the probable holder of a prompt's shared parts as the source when that is faster than prefill; standbys renew every 3 s (1 s in an outage) and read early only for a newer manifest.

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -215,7 +215,10 @@
     ++start_count_;
     assignments.push_back({item.id_, choice.target_->registration_.id_,
                            choice.cost_, choice.first_token_,
-                           choice.token_time_, choice.target_load_});
+                           choice.token_time_, choice.target_load_,
+                           choice.cache_source_ == nullptr
+                               ? std::string()
+                               : choice.cache_source_->registration_.id_});
     RecordSend(*entry.request_, choice, now);
   }
   for (const auto& assignment : assignments) {
@@ -237,7 +240,8 @@
   }
   sent.pending_prefill_tokens_ = choice.pending_prefill_tokens_;
   sent.sent_at_ = now;
-  sent.measures_speed_ = choice.target_load_.pending_prefill_us_ == 0 &&
+  sent.measures_speed_ = choice.cache_source_ == nullptr &&
+                         choice.target_load_.pending_prefill_us_ == 0 &&
                          choice.target_load_.prefill_utilization_permille_ <
                              settings_.max_sampled_utilization_ * 1000;
   own_[sent.target_] += sent.load_;
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -88,6 +88,18 @@
   /// at an unreserved target.
   Duration long_prompt_misplacement_penalty_ = std::chrono::milliseconds(400);
   Duration short_prompt_misplacement_penalty_ = std::chrono::milliseconds(150);
+  /// Let a target fetch the shared parts of a prompt from the cache of another
+  /// target instead of prefilling them.
+  bool fetch_cached_parts_ = true;
+  /// Minimum number of tokens that are fetched. The prefill of fewer takes
+  /// about as long as a transfer.
+  std::uint32_t min_fetched_tokens_ = 512;
+  /// Time of a transfer that does not depend on its size; at the sites 1 to 3
+  /// ms. A transfer between zones takes twice as long.
+  Duration fetch_setup_time_ = std::chrono::milliseconds(3);
+  /// Share of the prefill of fetched parts that is still expected at the
+  /// target, because the source may have evicted them.
+  double fetch_miss_share_ = 0.2;
   /// Time added to the latency objective per priority level when waiting
   /// requests are ordered.
   Duration priority_step_ = std::chrono::milliseconds(300);
@@ -101,6 +113,9 @@
   Duration first_token_{};  ///< Expected time to the first token.
   Duration token_time_{};   ///< Expected time per further token.
   TargetLoad load_before_;  ///< Load of the target before this request.
+  /// Target from whose cache the target fetches parts of the prompt; empty if
+  /// none.
+  std::string cache_source_;
 };
 
 /// A request that is not sent because it cannot be served in time.
@@ -288,6 +303,12 @@
     Duration token_time_{};
     TargetLoad target_load_;
     std::uint64_t pending_prefill_tokens_ = 0;
+    const Target* cache_source_ = nullptr;
+  };
+  /// The target that probably has most of a prompt in its cache.
+  struct CacheSource {
+    const Target* target_ = nullptr;
+    std::uint32_t tokens_ = 0;
   };
 
   struct PendingRequest {
@@ -321,6 +342,18 @@
   auto MarkAffinityTargets(const PendingRequest& waiting,
                            std::optional<bool> reserved,
                            std::vector<Candidate>& candidates) const -> void;
+  /// Returns the source from which other targets can fetch parts of the prompt;
+  /// no target if engines cannot fetch or none has enough of it.
+  [[nodiscard]] auto FindCacheSource(const PendingRequest& waiting,
+                                     const std::vector<Candidate>& candidates,
+                                     TimePoint now) const -> CacheSource;
+  /// Returns the expected time until the prompt is prefilled at a target that
+  /// has `cached` tokens of it, and sets `fetches` if it should fetch further
+  /// ones from `source`.
+  [[nodiscard]] auto PrefillTimeAt(const Target& target, std::uint32_t cached,
+                                   const WorkItem& item,
+                                   const CacheSource& source,
+                                   bool& fetches) const -> Duration;
   [[nodiscard]] auto HasModelAndAdapter(const Target& target,
                                         const WorkItem& item) const -> bool;
   /// Returns true if any registered target that is not leaving has loaded the
--- a/modules/baobab_gateway/dispatcher_choice.cc
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -198,6 +198,60 @@
   }
 }
 
+auto Dispatcher::FindCacheSource(const PendingRequest& waiting,
+                                 const std::vector<Candidate>& candidates,
+                                 TimePoint now) const -> CacheSource {
+  CacheSource source;
+  const auto* engine = FindEngine(waiting.item_.service_);
+  if (!settings_.fetch_cached_parts_ || engine == nullptr ||
+      engine->cache_bytes_per_token_ <= 0 || engine->cache_link_mbps_ <= 0) {
+    return source;
+  }
+  for (const auto& candidate : candidates) {
+    if (!candidate.target_->health_.IsUsable(now)) {
+      continue;
+    }
+    const auto tokens =
+        CachedTokens(*candidate.target_, waiting, candidate.has_affinity_);
+    if (tokens > source.tokens_ ||
+        (tokens == source.tokens_ && candidate.has_affinity_)) {
+      source = {candidate.target_, tokens};
+    }
+  }
+  return source.tokens_ < settings_.min_fetched_tokens_ ? CacheSource()
+                                                        : source;
+}
+
+auto Dispatcher::PrefillTimeAt(const Target& target, std::uint32_t cached,
+                               const WorkItem& item, const CacheSource& source,
+                               bool& fetches) const -> Duration {
+  const auto& generation = item.generation_;
+  const auto pending =
+      generation.prompt_tokens_ - std::min(cached, generation.prompt_tokens_);
+  const auto prefill = prefill_speed_.PrefillTime(generation.model_, pending);
+  fetches = false;
+  if (source.target_ == nullptr || source.target_ == &target ||
+      source.tokens_ < cached + settings_.min_fetched_tokens_) {
+    return prefill;
+  }
+  const auto fetched = std::min(source.tokens_ - cached, pending);
+  const auto* engine = FindEngine(item.service_);
+  // A megabit per second is a bit per microsecond.
+  auto transfer = Duration(static_cast<Duration::rep>(
+      fetched * engine->cache_bytes_per_token_ * 8 / engine->cache_link_mbps_));
+  transfer += settings_.fetch_setup_time_;
+  if (source.target_->registration_.zone_ != target.registration_.zone_) {
+    transfer *= 2;
+  }
+  const auto with_fetch =
+      transfer +
+      prefill_speed_.PrefillTime(generation.model_, pending - fetched) +
+      Scaled(prefill_speed_.PrefillTime(generation.model_, fetched),
+             settings_.fetch_miss_share_);
+  fetches = with_fetch < prefill;
+  return fetches ? with_fetch : prefill;
+}
+
 auto Dispatcher::Choose(const PendingRequest& waiting, TimePoint now)
     -> Choice {
   Choice choice;
@@ -214,6 +268,9 @@
                         some_reserved ? std::optional(!is_long) : std::nullopt,
                         candidates);
   }
+  const auto source = generation.model_.empty()
+                          ? CacheSource()
+                          : FindCacheSource(waiting, candidates, now);
   for (const auto& candidate : candidates) {
     auto* target = candidate.target_;
     if (!target->health_.IsUsable(now)) {
@@ -224,9 +281,8 @@
       continue;
     }
     const auto cached = CachedTokens(*target, waiting, candidate.has_affinity_);
-    const auto prefill = prefill_speed_.PrefillTime(
-        generation.model_, generation.prompt_tokens_ -
-                               std::min(cached, generation.prompt_tokens_));
+    bool fetches = false;
+    const auto prefill = PrefillTimeAt(*target, cached, item, source, fetches);
     const auto first_token = Duration(load.pending_prefill_us_) + prefill;
     Duration cost;
     Duration token_time{};
@@ -262,6 +318,7 @@
       choice.first_token_ = first_token;
       choice.token_time_ = token_time;
       choice.target_load_ = load;
+      choice.cache_source_ = fetches ? source.target_ : nullptr;
       choice.pending_prefill_tokens_ =
           prefill_speed_.TokensPrefilledIn(generation.model_, first_token);
     }
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -64,14 +64,15 @@
   static constexpr Duration kMinBroadcastInterval =
       std::chrono::milliseconds(100);
   /// Duration of the store lease under which this instance is registered, and
-  /// the interval of its renewals.
-  static constexpr Duration kRegistrationTtl = std::chrono::seconds(6);
+  /// the intervals of its renewals. Renewals of a standby are rarer, since each
+  /// is a call to the store, until a coordinator reports an outage.
+  static constexpr Duration kRegistrationTtl = std::chrono::seconds(10);
   static constexpr Duration kRegistrationRenewInterval =
       std::chrono::seconds(1);
-  /// The store counts as unreachable if it has responded to no call for this
-  /// time: the interval of the registration renewals plus the response time of
-  /// a slow store.
-  static constexpr Duration kStoreTimeout = std::chrono::milliseconds(1700);
+  static constexpr Duration kStandbyRenewInterval = std::chrono::seconds(3);
+  /// The store counts as unreachable if it has responded to no call for the
+  /// interval of the renewals and this time: the response time of a slow store.
+  static constexpr Duration kStoreResponseTime = std::chrono::milliseconds(700);
   /// Maximum time for which callers may cache a directory response.
   static constexpr Duration kMaxDirectoryAge = std::chrono::seconds(2);
   /// Minimum time from the stop signal to the end of the process, because
@@ -307,8 +308,16 @@
 
   auto SendPeriodicReports() -> void;
 
+  /// Returns the interval of the renewals of the registration.
+  [[nodiscard]] auto RenewInterval(TimePoint now) const -> Duration {
+    return directory_.IsActive(now) || outage_reported_
+               ? kRegistrationRenewInterval
+               : kStandbyRenewInterval;
+  }
+
   [[nodiscard]] auto IsStoreConnected(TimePoint now) const -> bool {
-    return now - store_.last_response_time() <= kStoreTimeout;
+    return now - store_.last_response_time() <=
+           RenewInterval(now) + kStoreResponseTime;
   }
 
   /// Updates the roles of this instance (watching instance, order lease
@@ -397,6 +406,7 @@
   std::vector<MissingAdapter> last_missing_adapters_;
   std::int64_t sequence_ = 0;
   std::int64_t registration_lease_ = 0;
+  bool outage_reported_ = false;  // no coordinator reaches the store
   TimePoint stop_started_at_{};
   SuspensionDetector suspension_;
   std::optional<TimePoint> resumed_at_;  // until the store was read since
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -73,6 +73,12 @@
     return;
   }
   ApplyReportHeader(coordinator, now);
+  // One coordinator that does not reach the store may be partitioned from it.
+  const bool outage = !directory_.CoordinatorReachesStore(now);
+  if (!std::exchange(outage_reported_, outage) && outage &&
+      registration_lease_ != 0) {
+    ScheduleRegistration(Duration::zero());
+  }
   sync_.OnLeavingTargets(
       digest.leaving_targets_, digest.leaving_complete_after_,
       coordinator.store_read_age_
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -20,9 +20,8 @@
             .With("lease", registration_lease_);
         registration_lease_ = 0;
       }
-      ScheduleRegistration(registration_lease_ == 0
-                               ? Duration::zero()
-                               : kRegistrationRenewInterval);
+      ScheduleRegistration(registration_lease_ == 0 ? Duration::zero()
+                                                    : RenewInterval(Now()));
     });
     return;
   }
--- a/modules/baobab_gateway/fleet_replay_test.cc
+++ b/modules/baobab_gateway/fleet_replay_test.cc
@@ -44,6 +44,7 @@
   int late_first_token_ = 0;
   int long_event_gap_ = 0;
   int not_completed_ = 0;
+  std::uint64_t prefilled_tokens_ = 0;
 
   [[nodiscard]] auto OnTimeShare() const -> double {
     return static_cast<double>(on_time_) / requests_;
@@ -114,6 +115,7 @@
       }
       fleet_.EndExpiredRequests();
     }
+    result_.prefilled_tokens_ = fleet_.PrefilledTokens();
     return result_;
   }
 
@@ -227,6 +229,7 @@
     sum.late_first_token_ += result.late_first_token_;
     sum.long_event_gap_ += result.long_event_gap_;
     sum.not_completed_ += result.not_completed_;
+    sum.prefilled_tokens_ += result.prefilled_tokens_;
   }
   return sum;
 }
@@ -240,6 +243,7 @@
   settings.max_prefill_backlog_ = milliseconds(150);
   settings.max_prefill_utilization_ = 1.3;
   settings.reserved_share_ = 0;
+  settings.fetch_cached_parts_ = false;
   return settings;
 }
 
@@ -273,6 +277,35 @@
         baseline.not_completed_ + current.requests_ / 100);
 }
 
+// Guards against engines that prefill the shared parts of prompts although
+// another engine has them in its cache: a third of all prefill, which delays
+// the responses that the engines generate meanwhile.
+TEST_CASE("Fetched parts of prompts save prefill and keep more on time",
+          "[gateway][replay]") {
+  struct Case {
+    const char* description_;
+    FleetLoad load_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"high load", {55, 70}},
+      {"crest", {75, 90}},
+  }));
+  DispatchSettings without_fetch;
+  without_fetch.fetch_cached_parts_ = false;
+  const auto baseline =
+      Replay(without_fetch, {kReportInterval, true}, test.load_);
+  const auto current =
+      Replay(DispatchSettings(), {kReportInterval, true}, test.load_);
+  INFO(test.description_ << ": on time " << current.OnTimeShare() << " against "
+                         << baseline.OnTimeShare() << ", prefilled "
+                         << current.prefilled_tokens_ << " against "
+                         << baseline.prefilled_tokens_ << " tokens, long gaps "
+                         << current.long_event_gap_ << " against "
+                         << baseline.long_event_gap_);
+  CHECK(current.OnTimeShare() > baseline.OnTimeShare());
+  CHECK(current.prefilled_tokens_ < baseline.prefilled_tokens_);
+}
+
 // Guards against instances that leave requests in the queue while targets have
 // free capacity.
 TEST_CASE("At ordinary load of a large fleet nearly all requests are on time",
--- a/modules/baobab_gateway/ingress_types.h
+++ b/modules/baobab_gateway/ingress_types.h
@@ -31,6 +31,8 @@
   /// Id of the event after which the stream resumes; -1: the id that the caller
   /// sent, if any.
   std::int64_t last_event_id_ = -1;
+  /// Target from whose cache the target fetches parts of the prompt.
+  std::optional<TargetEndpoint> cache_source_;
 };
 
 /// Result of an attempt, as stated in the head of a target's response.
--- a/modules/baobab_gateway/manifest.h
+++ b/modules/baobab_gateway/manifest.h
@@ -67,6 +67,10 @@
   /// Limit on the rate of model loads from the weight store, over all engines
   /// of the service.
   double max_store_loads_per_second_ = 0;
+  /// Size of one token in the KV cache; 0 if engines cannot fetch cached parts
+  /// of prompts from each other.
+  double cache_bytes_per_token_ = 0;
+  double cache_link_mbps_ = 0;  ///< Bandwidth for such transfers.
   std::vector<ModelSpec> models_;
 };
 
--- a/modules/baobab_gateway/read_schedule.h
+++ b/modules/baobab_gateway/read_schedule.h
@@ -34,10 +34,6 @@
   /// triggers: when a fleet starts, targets register one after the other, and
   /// each registration would otherwise cause a call of every instance.
   static constexpr Duration kMinHintInterval = std::chrono::milliseconds(500);
-  /// The same for a standby and changes other than a newer manifest. During a
-  /// release of hundreds of targets, with kMinHintInterval 280 standbys would
-  /// call the store 560 times per second.
-  static constexpr Duration kMinStandbyHintInterval = std::chrono::seconds(6);
   /// Maximum time without a confirmation. Must stay below the 2 s after which
   /// sites expect that a leaving target gets no more requests.
   static constexpr Duration kMaxUnconfirmedTime =
@@ -90,12 +86,11 @@
     auto next = std::min(
         read_at_ + (standby ? kMaxStandbyReadInterval : kMaxReadInterval),
         confirmed_at_ + kMaxUnconfirmedTime);
-    if (hinted_) {
-      next = std::min(next, read_at_ + (standby ? kMinStandbyHintInterval
-                                                : kMinHintInterval));
-    }
-    return manifest_hinted_ ? std::min(next, read_at_ + kMinHintInterval)
-                            : next;
+    // Of the changes of targets, a standby must only know at once which ones
+    // are leaving, and digests say so. During a release of hundreds of targets,
+    // 280 standbys would otherwise call the store 560 times per second.
+    const bool reads_early = manifest_hinted_ || (hinted_ && !standby);
+    return reads_early ? std::min(next, read_at_ + kMinHintInterval) : next;
   }
 
  private:
--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -25,6 +25,9 @@
   if (active.response_started_) {
     options.last_event_id_ = active.events_.last_event_id();
   }
+  if (const auto* source = registry_->Find(assignment.cache_source_)) {
+    options.cache_source_ = source->registration_.endpoint_;
+  }
   auto request = Codec::EncodeTargetRequest(active.request_, options);
   request.timeouts_.connect_ = kConnectTimeout;
   request.timeouts_.send_ = options.time_left_;
@@ -60,6 +63,7 @@
       .With("busy_permille",
             assignment.load_before_.prefill_utilization_permille_)
       .With("running", assignment.load_before_.running_)
+      .With("cache_source", assignment.cache_source_)
       .With("left_ms", Milliseconds(options.time_left_));
   active.attempt_ =
       TargetExchange::Start(pool_, std::move(request), std::move(events));
--- a/modules/baobab_gateway/simulated_batch.h
+++ b/modules/baobab_gateway/simulated_batch.h
@@ -40,12 +40,33 @@
 
   explicit SimulatedBatch(Handlers handlers) : handlers_(std::move(handlers)) {}
 
-  /// Queues a request that generates `tokens` tokens. Cached prompt tokens
-  /// need no prefill.
+  /// Tokens that could be prefilled during a transfer of the shared parts of a
+  /// long prompt, which takes about 10 ms.
+  static constexpr std::uint32_t kTransferTokens = 380;
+
+  /// Returns how many leading tokens of a prompt are in the cache.
+  [[nodiscard]] auto CachedTokens(const Generation& generation) const
+      -> std::uint32_t {
+    return prefix_cache_.CachedTokens(PrefixHashes(generation),
+                                      generation.parts_);
+  }
+  /// Returns the number of prompt tokens prefilled since the start.
+  [[nodiscard]] auto prefilled_tokens() const -> std::uint64_t {
+    return prefilled_tokens_;
+  }
+
+  /// Queues a request that generates `tokens` tokens. Prompt tokens that are
+  /// cached here or fetched from another engine need no prefill; `fetched` is
+  /// the number of leading tokens that the other engine has cached.
   auto Start(WorkId id, const Generation& generation, std::uint32_t tokens,
-             TimePoint now) -> void {
+             TimePoint now, std::uint32_t fetched = 0) -> void {
     const auto chain = PrefixHashes(generation);
-    const auto cached = prefix_cache_.CachedTokens(chain, generation.parts_);
+    auto cached = prefix_cache_.CachedTokens(chain, generation.parts_);
+    if (fetched > cached + kTransferTokens) {
+      cached = fetched - kTransferTokens;
+    }
+    prefilled_tokens_ +=
+        generation.prompt_tokens_ - std::min(cached, generation.prompt_tokens_);
     prefix_cache_.Record(chain, generation.parts_);
     waiting_.push_back({id,
                         generation.prompt_tokens_ -
@@ -133,6 +154,7 @@
   }
 
   Handlers handlers_;
+  std::uint64_t prefilled_tokens_ = 0;
   PrefixCacheEstimate prefix_cache_{250'000};
   std::list<Request> running_;
   std::deque<Request> waiting_;
--- a/modules/baobab_gateway/simulated_fleet.h
+++ b/modules/baobab_gateway/simulated_fleet.h
@@ -96,9 +96,13 @@
       for (const auto& assignment : dispatcher->Assign(now_)) {
         auto& request = requests_.at(assignment.id_);
         request.target_ = assignment.target_;
+        const auto source = engines_.find(assignment.cache_source_);
         engines_.at(assignment.target_)
             .Start(assignment.id_, request.item_.generation_, request.tokens_,
-                   now_);
+                   now_,
+                   source == engines_.end() ? 0
+                                            : source->second.CachedTokens(
+                                                  request.item_.generation_));
       }
     }
   }
@@ -120,6 +124,15 @@
     }
   }
 
+  /// Returns the number of prompt tokens that all engines have prefilled.
+  [[nodiscard]] auto PrefilledTokens() const -> std::uint64_t {
+    std::uint64_t tokens = 0;
+    for (const auto& [id, engine] : engines_) {
+      tokens += engine.prefilled_tokens();
+    }
+    return tokens;
+  }
+
   /// Calls `action` with the dispatcher of each instance except `own_index`.
   template <class Action>
   auto ForEachPeer(std::size_t own_index, Action action) -> void {
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -171,7 +171,7 @@
   /// Handles the manifest version that a peer reported: if it is newer than the
   /// known one, the next read is moved forward.
   auto OnPeerManifestVersion(std::int64_t version) -> void {
-    if (manifest_ && version > manifest_->version_) {
+    if (version > (manifest_ ? manifest_->version_ : 0)) {
       schedule_.OnNewerManifestReported();
       if (read_scheduled_) {
         ScheduleRead();
--- a/modules/baobab_gateway/test_fleet.h
+++ b/modules/baobab_gateway/test_fleet.h
@@ -22,6 +22,8 @@
   engine.weight_memory_mb_ = 220'000;
   engine.adapter_slots_ = 8;
   engine.max_store_loads_per_second_ = 1.4;
+  engine.cache_bytes_per_token_ = 163'840;
+  engine.cache_link_mbps_ = 1'100'000;
   for (const auto& name : models) {
     ModelSpec model;
     model.name_ = name;
