Predict waits by slots, use the load that targets state

Nothing read the load header of targets. The baseline of dispatch_replay_test gets both new settings off, since it stands for the settings before them.

--- a/modules/baobab_gateway/dispatch_replay_test.cc
+++ b/modules/baobab_gateway/dispatch_replay_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "baobab_base/random_source.h"
@@ -37,12 +38,14 @@
   int on_time_ = 0;    // completed; first token within the objective
   int completed_ = 0;  // response ended within the time limit
   int rejected_ = 0;
+  int held_ = 0;  // rejected after more than half of the time limit
 
   auto operator+=(const ReplayResult& other) -> ReplayResult& {
     requests_ += other.requests_;
     on_time_ += other.on_time_;
     completed_ += other.completed_;
     rejected_ += other.rejected_;
+    held_ += other.held_;
     return *this;
   }
   [[nodiscard]] auto OnTimeShare() const -> double {
@@ -62,6 +65,7 @@
       : fleet_(MakeRegistry(engines, {"m0"}), TimePoint{} + seconds(100),
                [this](const SimulatedFleet::Outcome& outcome) {
                  result_.rejected_ += outcome.rejected_ ? 1 : 0;
+                 result_.held_ += outcome.held_ ? 1 : 0;
                  result_.completed_ += outcome.completed_in_time_ ? 1 : 0;
                  result_.on_time_ +=
                      outcome.completed_in_time_ && outcome.first_token_on_time_
@@ -70,8 +74,9 @@
                }),
         random_(seed) {
     for (std::size_t i = 0; i < instances; ++i) {
-      fleet_.AddInstance(std::make_unique<Dispatcher>(settings, "z"),
-                         MakeTestManifest({"m0"}));
+      auto dispatcher = std::make_unique<Dispatcher>(settings, "z");
+      dispatcher->SetInstanceCount(instances);
+      fleet_.AddInstance(std::move(dispatcher), MakeTestManifest({"m0"}));
     }
   }
 
@@ -172,6 +177,8 @@
   settings.interference_weight_ = 0.2;
   settings.first_token_overhead_ = Duration::zero();
   settings.sends_per_late_request_ = 4;
+  settings.fetch_cached_parts_ = false;
+  settings.predict_wait_by_slots_ = false;
   return settings;
 }
 
@@ -205,6 +212,29 @@
   CHECK(current.OnTimeShare() > baseline.OnTimeShare());
 }
 
+// Guards against requests that are held until their deadline although their
+// targets have no slots for them: callers should learn at once that they must
+// try later.
+TEST_CASE("In a lasting overload of slots requests are rejected early",
+          "[gateway][replay]") {
+  DispatchSettings by_prefill;
+  by_prefill.predict_wait_by_slots_ = false;
+  const LoadPattern load{2, 480, 1.0};
+  ReplayResult current;
+  ReplayResult baseline;
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    current += Replay(7, 2, DispatchSettings(), seed).Run(load);
+    baseline += Replay(7, 2, by_prefill, seed).Run(load);
+  }
+  INFO("held " << current.held_ << " against " << baseline.held_
+               << ", completed " << current.CompletedShare() << " against "
+               << baseline.CompletedShare() << ", on time "
+               << current.OnTimeShare() << " against "
+               << baseline.OnTimeShare());
+  CHECK(current.held_ < baseline.held_ / 2);
+  CHECK(current.CompletedShare() >= baseline.CompletedShare() - 0.02);
+}
+
 // Guards against rejecting or delaying requests while the engines have capacity
 // for all of them.
 TEST_CASE("At moderate load nearly all requests are on time",
--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -334,8 +334,17 @@
   }
 }
 
-auto Dispatcher::OnServed(WorkId id) -> void {
+auto Dispatcher::OnStatedLoad(const std::string& target, const StatedLoad& load,
+                              TimePoint now) -> void {
+  if (const auto found = targets_.find(target); found != targets_.end()) {
+    found->second.slowdown_.OnStatedLoad(load, now);
+  }
+}
+
+auto Dispatcher::OnServed(WorkId id, TimePoint now) -> void {
   if (const auto sent = Release(id)) {
+    service_times_.Observe(sent->item_.service_, sent->item_.generation_.model_,
+                           now - sent->sent_at_);
     if (const auto target = targets_.find(sent->target_);
         target != targets_.end()) {
       target->second.health_.OnSuccess();
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +15,8 @@
 #include "baobab_gateway/model_demand.h"
 #include "baobab_gateway/prefill_speed.h"
 #include "baobab_gateway/prefix_cache_estimate.h"
+#include "baobab_gateway/service_time_estimate.h"
+#include "baobab_gateway/stated_load.h"
 #include "baobab_gateway/target_health.h"
 #include "baobab_gateway/target_load.h"
 #include "baobab_gateway/target_registry.h"
@@ -88,6 +91,12 @@
   /// at an unreserved target.
   Duration long_prompt_misplacement_penalty_ = std::chrono::milliseconds(400);
   Duration short_prompt_misplacement_penalty_ = std::chrono::milliseconds(150);
+  /// Predict the wait of a request also from the slots and the cache memory of
+  /// its targets, not only from the pending prefill.
+  bool predict_wait_by_slots_ = true;
+  /// Factor on the wait that follows from slots. A smaller value rejects fewer
+  /// requests that would have been served late.
+  double slot_wait_factor_ = 0.6;
   /// Let a target fetch the shared parts of a prompt from the cache of another
   /// target instead of prefilling them.
   bool fetch_cached_parts_ = true;
@@ -198,8 +207,16 @@
   /// target was lightly loaded when the request was sent, the time since then
   /// updates the estimated prefill speed of the model.
   auto OnFirstToken(WorkId id, TimePoint now) -> void;
+  /// Records the load that `target` stated in a response.
+  auto OnStatedLoad(const std::string& target, const StatedLoad& load,
+                    TimePoint now) -> void;
   /// Records that the target completed the response.
-  auto OnServed(WorkId id) -> void;
+  auto OnServed(WorkId id, TimePoint now) -> void;
+  /// Sets how many instances send requests to the same targets, including this
+  /// one. Their queues are assumed to be as long as that of this instance.
+  auto SetInstanceCount(std::size_t instances) -> void {
+    instance_count_ = std::max<std::size_t>(1, instances);
+  }
   /// Records that the target responded with an error. Raises the failure share
   /// of the target but starts no backoff period.
   auto OnErrorResponse(WorkId id) -> void;
@@ -272,6 +289,7 @@
     TargetRegistration registration_;
     TargetHealth health_;
     PrefixCacheEstimate prefix_cache_;
+    TargetSlowdown slowdown_;
     bool registered_ = false;
     /// Hash of the target id; determines which targets are reserved.
     std::uint64_t id_hash_ = 0;
@@ -368,6 +386,10 @@
                               const TargetLoad& load) const -> Duration;
   [[nodiscard]] auto MinTimeToFirstToken(const WorkItem& item) const
       -> Duration;
+  /// Returns how many requests like `item` a target of its service can run at
+  /// once, by slots and cache memory.
+  [[nodiscard]] auto ConcurrentRequests(const Target& target,
+                                        const WorkItem& item) const -> double;
   [[nodiscard]] auto MinServiceTime(const WorkItem& item) const -> Duration;
   /// Returns how many tokens of the prompt are probably cached at `target`.
   [[nodiscard]] static auto CachedTokens(const Target& target,
@@ -397,6 +419,8 @@
   PeerLoad peers_;
   PrefillSpeed prefill_speed_;
   ModelDemand demand_;
+  ServiceTimeEstimate service_times_;
+  std::size_t instance_count_ = 1;
   unsigned start_count_ = 0;
 };
 
--- a/modules/baobab_gateway/dispatcher_choice.cc
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -302,6 +302,7 @@
     if (target->registration_.zone_ != zone_) {
       cost += settings_.other_zone_penalty_;
     }
+    cost = Scaled(cost, target->slowdown_.FactorAt(now));
     cost = Scaled(
         cost, 1 + settings_.failure_weight_ * target->health_.failure_share());
     // Calls without a model are distributed at random, with a lower probability
@@ -332,8 +333,8 @@
   // model, plus the requests before it in the queue of this instance. The
   // expected wait is this load divided by the combined speed of the targets.
   Duration prefill{};
-  std::size_t calls = 0;
-  std::size_t slots = 0;
+  double in_progress = 0;  // requests like `item`, at the targets
+  double capacity = 0;     // of such requests
   int target_count = 0;
   for (const auto* target : TargetsFor(item)) {
     if (!target->health_.IsUsable(now) || !HasModelAndAdapter(*target, item)) {
@@ -341,13 +342,20 @@
     }
     const auto load = LoadAt(target->registration_.id_, now);
     ++target_count;
-    slots += target->registration_.slots_;
+    capacity += ConcurrentRequests(*target, item);
+    in_progress += std::max<double>(
+        load.running_,
+        item.generation_.model_.empty()
+            ? 0
+            : load.cache_tokens_ /
+                  std::max(1.0, static_cast<double>(
+                                    RequiredCacheTokens(item.generation_))));
     prefill += Duration(load.pending_prefill_us_);
-    calls += load.running_;
   }
   if (target_count == 0) {
     return std::nullopt;
   }
+  double ahead = 0;  // requests in the queue that are sent before `item`
   for (const auto& [id, entry] : queue_) {
     const auto& waiting = entry.item_;
     if (waiting.generation_.model_ == item.generation_.model_ &&
@@ -357,13 +365,36 @@
       // cached at the target.
       prefill += prefill_speed_.PrefillTime(
           waiting.generation_.model_, waiting.generation_.prompt_tokens_ / 2);
-      ++calls;
+      ++ahead;
     }
   }
   if (item.generation_.model_.empty()) {
-    return kPlainCallTime * calls / std::max<std::size_t>(1, slots);
+    return Scaled(kPlainCallTime,
+                  (in_progress + ahead) / std::max(1.0, capacity));
   }
-  return Scaled(prefill / target_count, 1 / settings_.max_prefill_utilization_);
+  auto wait =
+      Scaled(prefill / target_count, 1 / settings_.max_prefill_utilization_);
+  const auto service_time =
+      service_times_.Find(item.service_, item.generation_.model_);
+  const auto excess =
+      in_progress + ahead * static_cast<double>(instance_count_) + 1 - capacity;
+  if (settings_.predict_wait_by_slots_ && service_time && excess > 0) {
+    wait = std::max(wait,
+                    Scaled(*service_time, settings_.slot_wait_factor_ * excess /
+                                              std::max(1.0, capacity)));
+  }
+  return wait;
+}
+
+auto Dispatcher::ConcurrentRequests(const Target& target,
+                                    const WorkItem& item) const -> double {
+  const auto slots = static_cast<double>(target.registration_.slots_);
+  const auto* engine = FindEngine(item.service_);
+  const auto needed = RequiredCacheTokens(item.generation_);
+  return engine == nullptr || needed == 0
+             ? slots
+             : std::min(slots, static_cast<double>(engine->cache_tokens_) *
+                                   settings_.max_cache_share_ / needed);
 }
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/dispatcher_test.cc
+++ b/modules/baobab_gateway/dispatcher_test.cc
@@ -53,6 +53,51 @@
   CHECK(count.size() == engines);
 }
 
+// Guards against requests that wait until their deadline and are never sent,
+// because only the prefill ahead of them was counted: where responses are long,
+// slots are what they wait for.
+TEST_CASE("A request that gets no slot in time is rejected at once",
+          "[gateway]") {
+  struct Case {
+    const char* what_;
+    std::size_t instances_;
+    int ahead_;  // in the queue of this instance
+    bool rejected_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"first in the queue", 16, 0, false},
+      {"short queues", 2, 16, false},
+      {"queues of as many requests at 16 instances", 16, 16, true},
+  }));
+  INFO(test.what_);
+  Fixture fixture(1);
+  auto& dispatcher = fixture.dispatcher_;
+  dispatcher.SetInstanceCount(test.instances_);
+  REQUIRE_FALSE(dispatcher.Submit(Item(1), kNow));
+  REQUIRE(dispatcher.Assign(kNow).size() == 1);
+  dispatcher.OnServed(1, kNow + seconds(2));
+  dispatcher.OnPeerLoad("peer", {{"t0", {64, 64'000, 0, 0}}}, kNow);
+  for (int i = 0; i < test.ahead_; ++i) {
+    REQUIRE_FALSE(dispatcher.Submit(Item(static_cast<WorkId>(10 + i)), kNow));
+  }
+  CHECK(dispatcher.Submit(Item(2), kNow).has_value() == test.rejected_);
+}
+
+// Guards against requests to a target that another tenant of its machine slows
+// down, and against one that is avoided because of a state that has passed.
+TEST_CASE("A target that states that it is slow is avoided for a moment",
+          "[gateway]") {
+  const auto age = GENERATE(milliseconds(50), seconds(1));
+  Fixture fixture(2);
+  auto& dispatcher = fixture.dispatcher_;
+  dispatcher.OnPeerLoad("peer", {{"t1", {8, 8'000, 10'000, 100}}}, kNow);
+  dispatcher.OnStatedLoad("t0", {1, 0, 64, 400}, kNow - age);
+  REQUIRE_FALSE(dispatcher.Submit(Item(1), kNow));
+  const auto assignments = dispatcher.Assign(kNow);
+  REQUIRE(assignments.size() == 1);
+  CHECK(assignments[0].target_ == (age < seconds(1) ? "t1" : "t0"));
+}
+
 // Guards against requests that queue at a target, where they can no longer be
 // reordered or sent to another target.
 TEST_CASE("A target gets no more requests than it can start", "[gateway]") {
@@ -224,7 +269,7 @@
       dispatcher.OnTargetFailed(1, kNow);
       break;
     case 2:
-      dispatcher.OnServed(1);
+      dispatcher.OnServed(1, kNow);
       break;
     case 3:
       dispatcher.OnErrorResponse(1);
@@ -290,7 +335,7 @@
   REQUIRE_FALSE(dispatcher.Submit(Item(1, ""), kNow));
   REQUIRE(dispatcher.Assign(kNow).size() == 1);
   CHECK(dispatcher.TakeChangedTargets().empty() != test.notified_);
-  dispatcher.OnServed(1);
+  dispatcher.OnServed(1, kNow);
   CHECK(dispatcher.TakeChangedTargets().empty() != test.notified_);
 }
 
--- a/modules/baobab_gateway/ingress_types.h
+++ b/modules/baobab_gateway/ingress_types.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "baobab_base/time_types.h"
+#include "baobab_gateway/stated_load.h"
 #include "baobab_gateway/work_item.h"
 #include "baobab_targets/target_endpoint.h"
 
@@ -46,6 +47,8 @@
   /// authenticate their responses). A response without it may not come from the
   /// target.
   bool authenticated_ = false;
+  std::optional<StatedLoad> load_;  ///< If the target states it.
+  bool malformed_load_ = false;     ///< It states something unreadable.
 };
 
 /// Why the gateway itself responds to a request with an error.
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -131,6 +131,7 @@
   auto SetInstanceCount(std::size_t sharing_retries,
                         std::size_t sharing_connections) -> void {
     retries_.SetInstanceCount(sharing_retries);
+    dispatcher_.SetInstanceCount(sharing_connections);
     if (manifest_) {
       pool_->set_idle_per_target(
           IdleConnectionsPerTarget(manifest_->services_, sharing_connections));
--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -73,8 +73,17 @@
 auto RequestGateway<Codec>::OnHead(WorkId id, const TargetResponseHead& head)
     -> void {
   const auto found = active_.find(id);
-  if (found != active_.end()) {
-    found->second.head_ = head;
+  if (found == active_.end()) {
+    return;
+  }
+  found->second.head_ = head;
+  const auto info = Codec::DecodeResponseHead(head);
+  if (info.load_) {
+    dispatcher_.OnStatedLoad(found->second.target_, *info.load_, Now());
+  } else if (info.malformed_load_) {
+    LogEvent(LogLevel::kWarning, "stated_load_unreadable")
+        .With("target", found->second.target_);
+    metrics_.Add("gateway_unreadable_loads_total", "");
   }
 }
 
@@ -198,7 +207,7 @@
       return;
     }
     server_.EndStream(active.exchange_);
-    dispatcher_.OnServed(id);
+    dispatcher_.OnServed(id, Now());
     Finish(id, "served", active.head_->status_);
     return;
   }
@@ -211,7 +220,7 @@
       return;
     }
   } else {
-    dispatcher_.OnServed(id);
+    dispatcher_.OnServed(id, Now());
   }
   if (active.response_started_) {
     // Part of an event stream was sent to the caller, and this response does
--- a/modules/baobab_gateway/simulated_fleet.h
+++ b/modules/baobab_gateway/simulated_fleet.h
@@ -26,6 +26,7 @@
   /// How a request ended.
   struct Outcome {
     bool rejected_ = false;  ///< Rejected before it was sent to an engine.
+    bool held_ = false;      ///< Rejected after more than half of its time.
     bool completed_in_time_ = false;  ///< Response ended before the time limit.
     bool first_token_on_time_ = false;  ///< First token within the objective.
     Duration longest_event_gap_{};      ///< Longest time between stream events.
@@ -90,7 +91,9 @@
   auto Dispatch() -> void {
     for (auto& dispatcher : dispatchers_) {
       for (const auto& rejection : dispatcher->RejectInfeasible(now_)) {
-        on_outcome_({.rejected_ = true});
+        const auto& item = requests_.at(rejection.id_).item_;
+        on_outcome_({.rejected_ = true,
+                     .held_ = now_ - item.arrived_ > item.deadline_ - now_});
         requests_.erase(rejection.id_);
       }
       for (const auto& assignment : dispatcher->Assign(now_)) {
@@ -175,7 +178,7 @@
       return;
     }
     auto& request = found->second;
-    dispatchers_[request.instance_]->OnServed(id);
+    dispatchers_[request.instance_]->OnServed(id, at);
     request.outcome_.completed_in_time_ = at <= request.item_.deadline_;
     on_outcome_(request.outcome_);
     requests_.erase(found);
