--- a/modules/baobab_gateway/fleet_digest.cc
+++ b/modules/baobab_gateway/fleet_digest.cc
@@ -27,6 +27,7 @@
 auto DistinctZones(const std::vector<DigestMember>& members)
     -> std::vector<std::string> {
   std::vector<std::string> zones;
+  zones.reserve(members.size());
   for (const auto& member : members) {
     zones.push_back(member.zone_);
   }
