--- a/modules/baobab_gateway/entry_selection_test.cc
+++ b/modules/baobab_gateway/entry_selection_test.cc
@@ -19,7 +19,8 @@
 auto ZoneCandidates(const std::string& zone, const ZoneSize& size)
     -> std::vector<EntryCandidate> {
   std::vector<EntryCandidate> candidates;
-  candidates.reserve(static_cast<std::size_t>(size.strong_ + size.weak_));
+  candidates.reserve(static_cast<std::size_t>(size.strong_) +
+                     static_cast<std::size_t>(size.weak_));
   for (int i = 0; i < size.strong_; ++i) {
     candidates.push_back(
         {zone + "-s" + std::to_string(i), zone, 500, true, false});
