--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -148,7 +148,7 @@
     demand_.OnRequest(item.generation_, now);
   }
   const auto wait = PredictedWait(item, now);
-  if (wait && IsTooLate(item, now + *wait)) {
+  if (wait && now + *wait + MinServiceTime(item) > item.deadline_) {
     return Rejection{item.id_, "queue_too_long",
                      std::clamp(*wait / 2, kMinRetryAfter, kMaxRetryAfter)};
   }
@@ -276,7 +276,7 @@
   std::vector<Rejection> rejections;
   for (const auto& [id, waiting] : queue_) {
     const auto& item = waiting.item_;
-    if (IsTooLate(item, now)) {
+    if (now + MinServiceTime(item) >= item.deadline_) {
       rejections.push_back({id, "too_late_to_start", kMinRetryAfter});
     }
   }
@@ -393,7 +393,6 @@
   for (auto& [id, waiting] : queue_) {
     waiting.item_.objective_at_ -= time;
     waiting.item_.deadline_ -= time;
-    waiting.item_.start_by_ -= time;
   }
 }
 
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -96,7 +96,7 @@
   bool predict_wait_by_slots_ = true;
   /// Factor on the wait that follows from slots. A smaller value rejects fewer
   /// requests that would have been served late.
-  double slot_wait_factor_ = 0.38;
+  double slot_wait_factor_ = 0.6;
   /// Let a target fetch the shared parts of a prompt from the cache of another
   /// target instead of prefilling them.
   bool fetch_cached_parts_ = true;
@@ -391,10 +391,6 @@
   [[nodiscard]] auto ConcurrentRequests(const Target& target,
                                         const WorkItem& item) const -> double;
   [[nodiscard]] auto MinServiceTime(const WorkItem& item) const -> Duration;
-  /// Returns true if `item`, sent at `start`, cannot be completed before its
-  /// deadline or cannot begin before its caller has gone.
-  [[nodiscard]] auto IsTooLate(const WorkItem& item, TimePoint start) const
-      -> bool;
   /// Returns how many tokens of the prompt are probably cached at `target`.
   [[nodiscard]] static auto CachedTokens(const Target& target,
                                          const PendingRequest& waiting,
--- a/modules/baobab_gateway/dispatcher_choice.cc
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -119,16 +119,6 @@
              ExpectedOutputTokens(generation);
 }
 
-auto Dispatcher::IsTooLate(const WorkItem& item, TimePoint start) const
-    -> bool {
-  if (start + MinServiceTime(item) >= item.deadline_) {
-    return true;
-  }
-  return !item.resumed_ && !item.generation_.model_.empty() &&
-         item.start_by_ - start <
-             MinTimeToFirstToken(item) - settings_.first_token_overhead_;
-}
-
 auto Dispatcher::CachedTokens(const Target& target,
                               const PendingRequest& waiting, bool has_affinity)
     -> std::uint32_t {
--- a/modules/baobab_gateway/manifest.h
+++ b/modules/baobab_gateway/manifest.h
@@ -36,9 +36,6 @@
   Duration latency_objective_{};
   /// An event stream with a longer gap between two events also counts as late.
   Duration max_event_gap_{};
-  /// Callers abandon an event stream after this time without an event, also
-  /// before the first one; zero if they wait until their time limit.
-  Duration caller_patience_{};
   int priority_ = 0;        ///< Priority at the target; 0 is the highest.
   int max_attempts_ = 1;    ///< Limit on attempts that targets accept.
   bool resumable_ = false;  ///< Another target can resume a stream.
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -218,7 +218,6 @@
     for (auto& [id, active] : active_) {
       active.item_.objective_at_ -= time;
       active.item_.deadline_ -= time;
-      active.item_.start_by_ -= time;
       time_limits_.insert({active.item_.deadline_, id});
     }
   }
--- a/modules/baobab_gateway/request_gateway_admission.h
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -160,9 +160,6 @@
   item.deadline_ =
       arrived + std::min(ingress.time_left_.value_or(route.time_limit_),
                          route.time_limit_);
-  if (route.caller_patience_ > Duration::zero()) {
-    item.start_by_ = arrived + route.caller_patience_;
-  }
   retries_.OnRequest(item.service_, now);
   metrics_.Add("gateway_requests_total", Label("route", route.name_));
   const auto id = item.id_;
--- a/modules/baobab_gateway/simulated_fleet.h
+++ b/modules/baobab_gateway/simulated_fleet.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,9 +26,7 @@
   /// How a request ended.
   struct Outcome {
     bool rejected_ = false;  ///< Rejected before it was sent to an engine.
-    /// Not sent, and rejected after more than half of its time or ended with
-    /// its time limit or caller.
-    bool held_ = false;
+    bool held_ = false;      ///< Rejected after more than half of its time.
     bool completed_in_time_ = false;  ///< Response ended before the time limit.
     bool first_token_on_time_ = false;  ///< First token within the objective.
     Duration longest_event_gap_{};      ///< Longest time between stream events.
@@ -79,7 +76,7 @@
       on_outcome_({.rejected_ = true});
       return;
     }
-    requests_[item.id_] = {instance, item, tokens, "", {}, false};
+    requests_[item.id_] = {instance, item, tokens, "", {}};
   }
 
   /// Advances the engines to `now`.
@@ -96,8 +93,7 @@
       for (const auto& rejection : dispatcher->RejectInfeasible(now_)) {
         const auto& item = requests_.at(rejection.id_).item_;
         on_outcome_({.rejected_ = true,
-                     .held_ = now_ - item.arrived_ >
-                              std::min(item.deadline_, item.start_by_) - now_});
+                     .held_ = now_ - item.arrived_ > item.deadline_ - now_});
         requests_.erase(rejection.id_);
       }
       for (const auto& assignment : dispatcher->Assign(now_)) {
@@ -114,18 +110,14 @@
     }
   }
 
-  /// Ends requests that have reached their time limit or whose callers have
-  /// gone before the response began.
+  /// Ends requests that have reached their time limit.
   auto EndExpiredRequests() -> void {
     for (auto entry = requests_.begin(); entry != requests_.end();) {
-      auto& request = entry->second;
-      const bool abandoned =
-          !request.has_begun_ && request.item_.start_by_ <= now_;
-      if (request.item_.deadline_ > now_ && !abandoned) {
+      const auto& request = entry->second;
+      if (request.item_.deadline_ > now_) {
         ++entry;
         continue;
       }
-      request.outcome_.held_ = request.target_.empty();
       dispatchers_[request.instance_]->Forget(entry->first);
       if (!request.target_.empty()) {
         engines_.at(request.target_).Cancel(entry->first);
@@ -169,14 +161,12 @@
     std::uint32_t tokens_ = 0;
     std::string target_;
     Outcome outcome_;
-    bool has_begun_ = false;  // its first token was generated
   };
 
   auto RecordFirstToken(WorkId id, TimePoint at) -> void {
     const auto found = requests_.find(id);
     if (found != requests_.end()) {
       dispatchers_[found->second.instance_]->OnFirstToken(id, at);
-      found->second.has_begun_ = true;
       found->second.outcome_.first_token_on_time_ =
           at <= found->second.item_.objective_at_;
     }
--- a/modules/baobab_gateway/work_item.h
+++ b/modules/baobab_gateway/work_item.h
@@ -68,10 +68,8 @@
   Generation generation_;  ///< Its model is empty if the service has no models.
   int priority_ = 0;       ///< 0 is the most urgent.
   TimePoint arrived_{};
-  TimePoint objective_at_{};  ///< Latest desired start of the response.
-  TimePoint deadline_{};      ///< Time after which a response is useless.
-  /// Time after which the caller has gone unless the response has begun.
-  TimePoint start_by_ = TimePoint::max();
+  TimePoint objective_at_{};        ///< Latest desired start of the response.
+  TimePoint deadline_{};            ///< Time after which a response is useless.
   std::set<std::string> excluded_;  ///< Targets that failed this request.
   bool resumed_ = false;  ///< Part of the response was already delivered.
 };
