Keep reception, reports and ticks going after an exception in their handlers

Cause: read in the diff: with the guard around io.run(), an exception in the handler of a datagram or of a periodic timer left the process alive but deaf or silent, since the next wait was started after the handler's work. Change: datagram handlers are guarded one by one; the timers of reports and ticks are started before the work.

--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -165,7 +165,7 @@
 
 template <class Platform>
 auto EntryInstance<Platform>::SendPeriodicReports() -> void {
-  SendReport();
+  // The timer is started first, so that an exception does not end the reports.
   const auto now = Now();
   report_timer_.expires_after(
       directory_.IsActive(now)
@@ -176,6 +176,7 @@
       SendPeriodicReports();
     }
   });
+  SendReport();
 }
 
 template <class Platform>
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -467,6 +467,7 @@
       if (error) {
         return;
       }
+      Tick();  // first, so that an exception does not end the ticks
       if (lease_.is_held() && BootTime() >= next_renewal_) {
         Renew();
       }
@@ -474,7 +475,6 @@
       if (lease_is_free_) {
         Compete();
       }
-      Tick();
     });
   }
 
--- a/modules/baobab_gateway/peer_link.cc
+++ b/modules/baobab_gateway/peer_link.cc
@@ -1,6 +1,7 @@
 #include "baobab_gateway/peer_link.h"
 
 #include <boost/asio/buffer.hpp>
+#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -56,22 +57,32 @@
           if (receive_error) {
             break;
           }
-          const std::string_view bytes(buffer_.data(), size);
-          if (const auto update = DecodeLoadUpdate(bytes)) {
-            handlers_.on_load_update_(*update);
-          } else if (const auto report = DecodePeerReport(bytes)) {
-            handlers_.on_report_(*report);
-          } else if (const auto digest = DecodeFleetDigest(bytes)) {
-            handlers_.on_digest_(*digest);
-          } else {
-            ++unreadable_datagrams_;
-            LogEvent(LogLevel::kWarning, "peer_report_unreadable")
-                .With("sender", sender.address().to_string())
-                .With("bytes", size);
-          }
+          Dispatch({buffer_.data(), size}, sender);
         }
         Receive();
       });
 }
 
+auto PeerLink::Dispatch(std::string_view bytes, const Udp::endpoint& sender)
+    -> void {
+  try {
+    if (const auto update = DecodeLoadUpdate(bytes)) {
+      handlers_.on_load_update_(*update);
+    } else if (const auto report = DecodePeerReport(bytes)) {
+      handlers_.on_report_(*report);
+    } else if (const auto digest = DecodeFleetDigest(bytes)) {
+      handlers_.on_digest_(*digest);
+    } else {
+      ++unreadable_datagrams_;
+      LogEvent(LogLevel::kWarning, "peer_report_unreadable")
+          .With("sender", sender.address().to_string())
+          .With("bytes", bytes.size());
+    }
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kError, "peer_report_failed")
+        .With("sender", sender.address().to_string())
+        .With("reason", error.what());
+  }
+}
+
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/peer_link.h
+++ b/modules/baobab_gateway/peer_link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "baobab_gateway/fleet_digest.h"
 #include "baobab_gateway/peer_report.h"
@@ -48,6 +49,9 @@
   using Udp = boost::asio::ip::udp;
 
   auto Receive() -> void;
+  /// Decodes a datagram and passes it to its handler. An exception of a handler
+  /// is logged: it must not end the reception.
+  auto Dispatch(std::string_view bytes, const Udp::endpoint& sender) -> void;
 
   Udp::socket socket_;
   std::uint16_t port_;
