Exit one check after the listener closes; relayed digests confirm nothing

Cause: read in the diff: an idle process that stopped accepting exited in the same check, so requests that had arrived and were not read yet were still cut off; a relayed digest stated the age of a read at which the coordinator had sent it, so that a starting instance could take its copy for confirmed up to 10 s late. Change: StopSequence decides the steps of a stop; a relay leaves the age out.

--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -31,6 +31,7 @@
 #include "baobab_gateway/report_intervals.h"
 #include "baobab_gateway/request_gateway.h"
 #include "baobab_gateway/state_sync.h"
+#include "baobab_gateway/stop_sequence.h"
 #include "baobab_gateway/suspension_detector.h"
 #include "baobab_http/http_server.h"
 #include "baobab_targets/whole_exchange.h"
@@ -129,6 +130,8 @@
         registration_timer_(io),
         start_timer_(io),
         stop_timer_(io),
+        stop_sequence_(kMinStopTime,
+                       settings_.stop_grace_period_ - kStopReserve),
         signals_(io, SIGTERM, SIGINT, SIGHUP) {}
 
   /// Starts the listeners, the reports to peers and the reads of the store.
@@ -402,6 +405,7 @@
   boost::asio::steady_timer registration_timer_;
   boost::asio::steady_timer start_timer_;
   boost::asio::steady_timer stop_timer_;
+  StopSequence stop_sequence_;
   boost::asio::signal_set signals_;
   std::vector<MissingAdapter> last_missing_adapters_;
   std::int64_t sequence_ = 0;
@@ -411,7 +415,6 @@
   SuspensionDetector suspension_;
   std::optional<TimePoint> resumed_at_;  // until the store was read since
   bool stopping_ = false;
-  bool stopped_accepting_ = false;
   bool urgent_report_pending_ = false;
   // Set if an urgent report was requested while another one was pending.
   bool urgent_report_requested_again_ = false;
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -25,7 +25,10 @@
   }
   if (report.needs_digest_) {
     if (const auto* digest = directory_.CurrentDigest(now)) {
-      peers_.Send(report.address_, EncodeFleetDigest(*digest));
+      auto relayed = *digest;
+      // The age at which the coordinator stated it has passed.
+      relayed.coordinator_.store_read_age_.reset();
+      peers_.Send(report.address_, EncodeFleetDigest(relayed));
     }
   }
   if (directory_.IsCoordinator() && report.stopping_ &&
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -201,16 +201,17 @@
 
 template <class Platform>
 auto EntryInstance<Platform>::CheckStop() -> void {
-  const auto elapsed = Now() - stop_started_at_;
-  if (elapsed >= kMinStopTime && !std::exchange(stopped_accepting_, true)) {
-    gateway_.StopAccepting();
-  }
-  if ((gateway_.active() == 0 && elapsed >= kMinStopTime) ||
-      elapsed >= settings_.stop_grace_period_ - kStopReserve) {
-    LogEvent(LogLevel::kInfo, "instance_stopped")
-        .With("active", gateway_.active());
-    io_.stop();
-    return;
+  switch (stop_sequence_.Next(Now() - stop_started_at_, gateway_.active())) {
+    case StopSequence::Action::kWait:
+      break;
+    case StopSequence::Action::kStopAccepting:
+      gateway_.StopAccepting();
+      break;
+    case StopSequence::Action::kExit:
+      LogEvent(LogLevel::kInfo, "instance_stopped")
+          .With("active", gateway_.active());
+      io_.stop();
+      return;
   }
   stop_timer_.expires_after(kStopCheckInterval);
   stop_timer_.async_wait([this](boost::system::error_code error) {
--- /dev/null
+++ b/modules/baobab_gateway/stop_sequence_test.cc
@@ -0,0 +1,46 @@
+#include "baobab_gateway/stop_sequence.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace baobab::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Action = StopSequence::Action;
+
+// Guards against a process that exits in the check in which it stops accepting:
+// requests that had arrived and were not read yet were cut off.
+TEST_CASE("A stopping process answers what has arrived before it exits",
+          "[gateway]") {
+  struct Case {
+    const char* what_;
+    std::vector<std::size_t> active_;  // at checks 100 ms apart, from 2.4 s on
+    std::vector<Action> actions_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"idle",
+       {0, 0, 0},
+       {Action::kWait, Action::kStopAccepting, Action::kExit}},
+      {"a request was read after the listener closed",
+       {0, 0, 1, 0},
+       {Action::kWait, Action::kStopAccepting, Action::kWait, Action::kExit}},
+      {"busy until the end of the grace period",
+       {3, 3, 3, 3, 3},
+       {Action::kWait, Action::kStopAccepting, Action::kWait, Action::kWait,
+        Action::kExit}},
+  }));
+  INFO(test.what_);
+  StopSequence sequence(milliseconds(2500), milliseconds(2800));
+  Duration elapsed = milliseconds(2400);
+  std::vector<Action> actions;
+  for (const auto active : test.active_) {
+    actions.push_back(sequence.Next(elapsed, active));
+    elapsed += milliseconds(100);
+  }
+  CHECK(actions == test.actions_);
+}
+
+}  // namespace
+}  // namespace baobab::gateway
