--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -49,7 +49,7 @@
   active.head_.reset();
   active.body_.clear();
   active.events_.DiscardPartialEvent();
-  active.buffered_ = BufferBudget::Share(buffers_);
+  active.buffered_ = BufferBudget::Share{buffers_};
   active.sent_at_ = now;
   ++active.attempts_;
   LogEvent(LogLevel::kInfo, "request_sent")
