Log by what the order lease was renewed

The log of a holder whose lease had expired said that it was valid again, and not whether the store or the reports of peers had renewed it.

holder_right now states renewed_by.

--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -220,6 +220,7 @@
   auto OnStoreUnreachableForAll(Duration at) -> void {
     if (lease_.is_held()) {
       lease_.Renew(at);
+      last_renewed_by_ = "peer_reports";
     }
   }
 
@@ -260,7 +261,8 @@
       expiry_logged_ = !expiry_logged_;
       LogEvent(LogLevel::kWarning, "holder_right")
           .With("fence", lease_.fencing_token())
-          .With("state", expiry_logged_ ? "lapsed" : "renewed");
+          .With("state", expiry_logged_ ? "lapsed" : "renewed")
+          .With("renewed_by", last_renewed_by_);
     }
     if (!lease_.MaySendOrders(boot_now)) {
       return;
@@ -432,6 +434,7 @@
 
   auto OnAcquired(std::int64_t revision, Duration sent) -> void {
     lease_.Acquire(revision, prior_holder_, sent, BootTime());
+    last_renewed_by_ = "store";
     acquired_at_ = BootTime();
     blocked_until_.clear();
     expiry_logged_ = false;
@@ -466,6 +469,7 @@
       }
       if (std::holds_alternative<StoreLease>(result)) {
         lease_.Renew(sent);
+        last_renewed_by_ = "store";
       } else if (std::get<StoreFailure>(result) == StoreFailure::kNoLease) {
         OnLost("lease_ended");
       }
@@ -634,6 +638,7 @@
   bool stronger_peer_ = false;
   Duration next_renewal_{};
   bool expiry_logged_ = false;
+  const char* last_renewed_by_ = "store";  // or "peer_reports", for the log
   bool started_ = false;
   bool stopping_ = false;
   bool may_compete_ = false;
