Decide about the order lease in HolderElection, without I/O

OrderHolder decided when to compete for the order lease, when it is lost and whom to wait for in between its calls to the store and its timers, so that no test could replay a history of several holders.

HolderElection takes the same events with a time and returns the calls to make; OrderHolder makes them. Behaviour, log lines and store entries are unchanged.

gateway_test passes (10,066 assertions).

--- /dev/null
+++ b/modules/baobab_gateway/holder_election.cc
@@ -0,0 +1,255 @@
+#include "baobab_gateway/holder_election.h"
+
+#include <algorithm>
+#include <cstring>
+#include <random>
+#include <utility>
+
+namespace baobab::gateway {
+
+auto HolderElection::AddEvent(HolderEvent::Kind kind, const char* reason)
+    -> void {
+  HolderEvent event;
+  event.kind_ = kind;
+  event.fencing_token_ = lease_.fencing_token();
+  event.reason_ = reason;
+  events_.push_back(std::move(event));
+}
+
+auto HolderElection::Stop() -> void {
+  stopping_ = true;
+  if (lease_.is_held()) {
+    Release("stopping");
+  }
+}
+
+auto HolderElection::SetHasStrongerPeer(bool exists, Duration now) -> void {
+  stronger_peer_ = exists;
+  if (exists && lease_.is_held() && store_connected_ &&
+      now - acquired_at_ >= kMinHoldTime) {
+    Release("stronger_peer");
+  }
+}
+
+auto HolderElection::SetStoreConnected(bool connected, Duration now) -> void {
+  if (connected && !store_connected_) {
+    store_reconnected_at_ = now;
+  }
+  store_connected_ = connected;
+}
+
+auto HolderElection::OnStoreEntry(const StoreEntry& item, Duration now)
+    -> void {
+  if (item.key_ == last_holder_key_) {
+    last_holder_ = item.value_;
+    last_revision_ = item.removed_ ? 0 : item.revision_;
+  }
+  if (item.key_ != settings_.key_) {
+    return;
+  }
+  const bool own = !item.removed_ && item.value_ == settings_.owner_id_;
+  lease_is_free_ = item.removed_;
+  if (own && !lease_.is_held() && !stopping_ && lease_id_ != 0) {
+    // The response to the transaction was lost, but it was applied.
+    OnAcquired(item.revision_, now);
+  } else if (!own && lease_.is_held() &&
+             item.revision_ > lease_.fencing_token()) {
+    OnLost("taken_or_removed");
+  }
+}
+
+auto HolderElection::OnPeerNotHolder(const std::string& owner_id,
+                                     const RecentOrderList& recent,
+                                     Duration now) -> void {
+  if (!lease_.is_held() || owner_id != former_owner_id_) {
+    return;
+  }
+  former_owner_id_.clear();
+  for (const auto& [target, age] : recent) {
+    blocked_until_[target] =
+        now - age + settings_.handover_interval_ + settings_.handover_margin_;
+  }
+  lease_.EndHandoverWait(now);
+  AddEvent(HolderEvent::Kind::kWaitEnded, "");
+  events_.back().last_holder_ = owner_id;
+  events_.back().blocked_targets_ = recent.size();
+}
+
+auto HolderElection::OnPeerHolder(std::int64_t token) -> void {
+  if (lease_.is_held() && token > lease_.fencing_token()) {
+    OnLost("replaced");
+  }
+}
+
+auto HolderElection::OnStoreUnreachableForAll(Duration at) -> void {
+  if (lease_.is_held()) {
+    lease_.Renew(at);
+    last_renewed_by_ = "peer_reports";
+  }
+}
+
+auto HolderElection::OnLeaseGranted(std::optional<std::int64_t> lease_id,
+                                    Duration sent, Duration now) -> void {
+  if (!lease_id || stopping_) {
+    is_acquiring_ = false;
+    return;
+  }
+  lease_id_ = *lease_id;
+  grant_sent_ = sent;
+  prior_holder_ = PriorHolder(now);
+  former_owner_id_ = LastOwnerId();
+  calls_.push_back(
+      {HolderStoreCall::Kind::kAcquire, lease_id_, AcquireTransaction()});
+}
+
+auto HolderElection::AcquireTransaction() const -> StoreTransaction {
+  StoreTransaction change;
+  change.preconditions_.push_back({settings_.key_, 0});
+  // The transaction fails unless the last holder's entry still has the revision
+  // from which the former holder was read.
+  change.preconditions_.push_back({last_holder_key_, last_revision_});
+  change.writes_.push_back({settings_.key_, settings_.owner_id_, lease_id_});
+  change.writes_.push_back({last_holder_key_, settings_.owner_id_, 0});
+  return change;
+}
+
+auto HolderElection::OnAcquireResult(
+    const std::variant<std::int64_t, StoreFailure>& result, Duration now)
+    -> void {
+  is_acquiring_ = false;
+  if (const auto* revision = std::get_if<std::int64_t>(&result)) {
+    lease_is_free_ = false;
+    if (!lease_.is_held()) {
+      OnAcquired(*revision, now);
+    }
+  } else if (std::get<StoreFailure>(result) == StoreFailure::kConflict) {
+    AddEvent(HolderEvent::Kind::kNotAcquired, "taken_or_changed");
+  }
+}
+
+auto HolderElection::OnRenewResult(
+    std::int64_t lease_id, Duration sent,
+    const std::variant<StoreLease, StoreFailure>& result) -> void {
+  if (lease_id != lease_id_ || !lease_.is_held()) {
+    return;
+  }
+  if (std::holds_alternative<StoreLease>(result)) {
+    lease_.Renew(sent);
+    last_renewed_by_ = "store";
+  } else if (std::get<StoreFailure>(result) == StoreFailure::kNoLease) {
+    OnLost("lease_ended");
+  }
+}
+
+auto HolderElection::OnAcquired(std::int64_t revision, Duration now) -> void {
+  lease_.Acquire(revision, prior_holder_, grant_sent_, now);
+  acquired_at_ = now;
+  blocked_until_.clear();
+  was_expired_ = false;
+  last_renewed_by_ = "store";
+  next_renewal_ = now + HolderLease::kRenewInterval;
+  AddEvent(HolderEvent::Kind::kAcquired, "");
+  events_.back().last_holder_ = last_holder_;
+  events_.back().last_revision_ = last_revision_;
+}
+
+auto HolderElection::OnLost(const char* reason) -> void {
+  AddEvent(HolderEvent::Kind::kLost, reason);
+  lease_.Release();
+  // Lets other instances acquire the lease before it expires at the store.
+  calls_.push_back(
+      {HolderStoreCall::Kind::kRevokeLease, std::exchange(lease_id_, 0), {}});
+}
+
+auto HolderElection::Release(const char* reason) -> void {
+  AddEvent(HolderEvent::Kind::kReleased, reason);
+  const auto token = lease_.fencing_token();
+  lease_.Release();
+  lease_id_ = 0;
+  StoreTransaction change;
+  change.preconditions_.push_back({settings_.key_, token});
+  change.writes_.push_back(
+      {last_holder_key_, kReleasedPrefix + settings_.owner_id_, 0});
+  change.removals_.push_back(settings_.key_);
+  calls_.push_back({HolderStoreCall::Kind::kRelease, 0, std::move(change)});
+}
+
+auto HolderElection::Next(Duration now) -> std::vector<HolderStoreCall> {
+  auto calls = std::exchange(calls_, {});
+  if (lease_.is_held() && now >= next_renewal_) {
+    next_renewal_ = now + HolderLease::kRenewInterval;
+    calls.push_back({HolderStoreCall::Kind::kRenewLease, lease_id_, {}});
+  }
+  if (acquire_at_ && now >= *acquire_at_) {
+    acquire_at_.reset();
+    if (lease_is_free_ && !stopping_ && !lease_.is_held()) {
+      is_acquiring_ = true;
+      calls.push_back({HolderStoreCall::Kind::kGrantLease, 0, {}});
+    }
+  }
+  ScheduleCompetition(now);
+  return calls;
+}
+
+auto HolderElection::ScheduleCompetition(Duration now) -> void {
+  if (!started_ || stopping_ || !may_compete_ || lease_.is_held() ||
+      is_acquiring_ || acquire_at_ || !lease_is_free_) {
+    return;
+  }
+  std::uniform_int_distribution<Duration::rep> contention(
+      0, kMaxContentionDelay.count());
+  const bool known_other =
+      !last_holder_.empty() && !IsReleased() && !IsOwn(last_holder_);
+  acquire_at_ = now + (known_other ? kOtherHolderDelay : Duration::zero()) +
+                (stronger_peer_ ? kWeakerInstanceDelay : Duration::zero()) +
+                Duration(contention(random_));
+}
+
+auto HolderElection::LastOwnerId() const -> std::string {
+  return IsReleased() ? last_holder_.substr(std::strlen(kReleasedPrefix))
+                      : last_holder_;
+}
+
+auto HolderElection::PriorHolder(Duration now) const
+    -> HolderLease::PriorHolder {
+  if (IsOwn(last_holder_)) {
+    return HolderLease::PriorHolder::kOwn;
+  }
+  if (IsReleased()) {
+    return HolderLease::PriorHolder::kReleased;
+  }
+  return now - store_reconnected_at_ < kPostOutagePeriod
+             ? HolderLease::PriorHolder::kUnknownAfterOutage
+             : HolderLease::PriorHolder::kUnknown;
+}
+
+auto HolderElection::MaySendOrders(Duration now) -> bool {
+  if (lease_.is_held() && lease_.IsExpired(now) != was_expired_) {
+    // The instance stays the holder until the store reports that the lease has
+    // ended: a successful renewal, or reports of all instances that the store
+    // is unreachable, make the lease valid again.
+    was_expired_ = !was_expired_;
+    AddEvent(was_expired_ ? HolderEvent::Kind::kExpired
+                          : HolderEvent::Kind::kRenewed,
+             last_renewed_by_);
+  }
+  return lease_.MaySendOrders(now);
+}
+
+auto HolderElection::IsBlocked(const std::string& target, Duration now) const
+    -> bool {
+  const auto blocked = blocked_until_.find(target);
+  return blocked != blocked_until_.end() && now < blocked->second;
+}
+
+auto HolderElection::RecentOrders(Duration now) const -> RecentOrderList {
+  RecentOrderList recent;
+  for (const auto& [target, at] : last_order_at_) {
+    if (now - at < settings_.handover_interval_ + settings_.handover_margin_) {
+      recent.emplace_back(target, now - at);
+    }
+  }
+  return recent;
+}
+
+}  // namespace baobab::gateway
