Do not renew an order lease by reports after it has ended

Cause: while all peers report that they miss the store and hold no lease, a holder extends its lease, since nobody can acquire it. It did so even if the lease had already ended before the outage, and a successor had held it since.

Change: reports state when the store last responded to their sender. A holder extends its lease only if the store has responded to no other instance since the time until which its lease was certainly valid. Datagrams remain readable for earlier versions.

--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -28,6 +28,7 @@
       auto relayed = *digest;
       // The age at which the coordinator stated it has passed.
       relayed.coordinator_.store_read_age_.reset();
+      relayed.coordinator_.sent_at_.reset();
       peers_.Send(report.address_, EncodeFleetDigest(relayed));
     }
   }
@@ -270,10 +271,12 @@
   holder_.SetStoreConnected(store_connected);
   gateway_.SetStoreConnected(store_connected);
   if (!store_connected) {
-    if (const auto at = directory_.StoreUnreachableForAllSince(now)) {
+    if (const auto outage = directory_.FindStoreOutage(now)) {
       // The reports describe the state before their transmission.
-      holder_.OnStoreUnreachableForAll(BootTime() - (now - *at) -
-                                       kMaxReportDelay);
+      const auto boot_now = BootTime();
+      holder_.OnStoreOutage(
+          boot_now - (now - outage->from_),
+          boot_now - (now - outage->until_) - kMaxReportDelay);
     }
   }
   holder_.SetHasStrongerPeer(
@@ -326,6 +329,9 @@
     report.store_read_age_ = now - sync_.read_at();
   }
   report.store_connected_ = IsStoreConnected(now);
+  report.sent_at_ = now - started_at_;
+  report.store_response_at_ =
+      std::max(store_.last_response_time(), started_at_) - started_at_;
   report.fencing_token_ = holder_.fencing_token();
   report.needs_digest_ = directory_.HasDigests() && directory_.NeedsDigest(now);
   report.cpu_permille_ = settings_.cpu_permille_;
--- a/modules/baobab_gateway/fleet_digest.cc
+++ b/modules/baobab_gateway/fleet_digest.cc
@@ -65,6 +65,7 @@
     writer.WriteString(leaving.target_);
     writer.WriteSigned(leaving.revision_);
   }
+  EncodeReportExtension(writer, digest.coordinator_);
   return writer.Take();
 }
 
@@ -75,7 +76,7 @@
       return std::nullopt;
     }
     FleetDigest digest;
-    DecodeReportHeader(reader, digest.coordinator_);
+    const bool has_extension = DecodeReportHeader(reader, digest.coordinator_);
     digest.settled_ = reader.ReadUnsigned() != 0;
     digest.instance_count_ = reader.ReadUint32();
     std::vector<std::string> zones;
@@ -105,6 +106,9 @@
       leaving.revision_ = reader.ReadSigned();
       digest.leaving_targets_.push_back(std::move(leaving));
     }
+    if (has_extension) {
+      DecodeReportExtension(reader, digest.coordinator_);
+    }
     return digest;
   } catch (const StepError&) {
     return std::nullopt;  // PeerLink logs and counts it.
--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -81,10 +81,14 @@
   }
 }
 
-auto HolderElection::OnStoreUnreachableForAll(Duration at) -> void {
-  if (lease_.is_held()) {
-    lease_.Renew(at);
+auto HolderElection::OnStoreOutage(Duration from, Duration until) -> void {
+  if (!lease_.is_held()) {
+    return;
+  }
+  if (lease_.ExtendInOutage(from, until)) {
     last_renewed_by_ = "peer_reports";
+  } else if (!std::exchange(may_have_ended_, true)) {
+    AddEvent(HolderEvent::Kind::kMayHaveEnded, last_renewed_by_);
   }
 }
 
@@ -135,6 +139,7 @@
   }
   if (std::holds_alternative<StoreLease>(result)) {
     lease_.Renew(sent);
+    may_have_ended_ = false;
     last_renewed_by_ = "store";
   } else if (std::get<StoreFailure>(result) == StoreFailure::kNoLease) {
     OnLost("lease_ended");
@@ -146,6 +151,7 @@
   acquired_at_ = now;
   blocked_until_.clear();
   was_expired_ = false;
+  may_have_ended_ = false;
   last_renewed_by_ = "store";
   next_renewal_ = now + HolderLease::kRenewInterval;
   AddEvent(HolderEvent::Kind::kAcquired, "");
--- a/modules/baobab_gateway/holder_election.h
+++ b/modules/baobab_gateway/holder_election.h
@@ -39,6 +39,8 @@
     kWaitEnded,  ///< The former holder reported that it sends no more orders.
     kExpired,    ///< The lease has expired locally.
     kRenewed,    ///< The lease is valid again after it had expired locally.
+    /// The lease may have ended before an outage; only the store can renew it.
+    kMayHaveEnded,
   };
   Kind kind_ = Kind::kAcquired;
   std::int64_t fencing_token_ = 0;
@@ -138,10 +140,11 @@
   /// Handles a report of another process with the fencing token `token`. This
   /// instance stops being the holder if the token is higher than its own.
   auto OnPeerHolder(std::int64_t token) -> void;
-  /// Extends the lease locally because no instance reached the store at `at`:
-  /// the lease could not be renewed, but no other instance can have acquired it
-  /// before `at`.
-  auto OnStoreUnreachableForAll(Duration at) -> void;
+  /// Handles an outage in which the store responded to no instance from `from`
+  /// to `until`. The lease cannot be renewed, but no other instance can have
+  /// acquired it in that time: extends the lease locally, unless it may have
+  /// ended before `from`.
+  auto OnStoreOutage(Duration from, Duration until) -> void;
 
   /// Handles the result of kGrantLease: the id of the lease, or nothing if the
   /// call that was sent at `sent` failed.
@@ -241,6 +244,7 @@
   bool store_connected_ = false;
   bool stronger_peer_ = false;
   bool was_expired_ = false;
+  bool may_have_ended_ = false;  // kMayHaveEnded was added since the renewal
   bool started_ = false;
   bool stopping_ = false;
   bool may_compete_ = false;
--- a/modules/baobab_gateway/holder_lease.h
+++ b/modules/baobab_gateway/holder_lease.h
@@ -55,6 +55,7 @@
                Duration sent, Duration now) -> void {
     fencing_token_ = fencing_token;
     renewal_sent_at_ = sent;
+    no_successor_until_ = sent + kStoreLeaseTtl;
     switch (prior_holder) {
       case PriorHolder::kOwn:
         orders_allowed_from_ = now;
@@ -81,6 +82,20 @@
   /// Extends the lease after a successful renewal that was sent at `sent`.
   auto Renew(Duration sent) -> void {
     renewal_sent_at_ = std::max(renewal_sent_at_, sent);
+    no_successor_until_ = std::max(no_successor_until_, sent + kStoreLeaseTtl);
+  }
+
+  /// Extends the lease without the store, which responded to no other instance
+  /// between `from` and `until`: none of them acquired the lease in that time.
+  /// Returns false, without an effect, if the lease may have ended at the store
+  /// before `from`: another instance may have held it since.
+  [[nodiscard]] auto ExtendInOutage(Duration from, Duration until) -> bool {
+    if (from > no_successor_until_) {
+      return false;
+    }
+    renewal_sent_at_ = std::max(renewal_sent_at_, until);
+    no_successor_until_ = std::max(no_successor_until_, until);
+    return true;
   }
 
   /// Records that the lease is lost or released.
@@ -111,6 +126,8 @@
   Duration handover_interval_;
   std::int64_t fencing_token_ = 0;
   Duration renewal_sent_at_{};
+  // Time until which no other instance can have acquired the lease.
+  Duration no_successor_until_{};
   Duration orders_allowed_from_{};
 };
 
--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -47,6 +47,8 @@
   if (!same_process) {
     entry.previous_incarnation_ = entry.incarnation_;
   }
+  entry.store_silent_since_ = StoreSilentSince(report, entry, now);
+  entry.store_response_at_ = report.store_response_at_;
   entry.address_ = report.address_;
   entry.caller_address_ = report.caller_address_;
   entry.zone_ = report.zone_;
@@ -68,6 +70,25 @@
   return true;
 }
 
+auto InstanceDirectory::StoreSilentSince(const PeerReport& report,
+                                         const Instance& known, TimePoint now)
+    -> TimePoint {
+  const auto since = report.sent_at_
+                         ? now - (*report.sent_at_ - report.store_response_at_)
+                         : now;
+  const bool is_same_process = report.incarnation_ == known.incarnation_;
+  const bool was_silent = known.has_reported_ && !known.store_connected_ &&
+                          known.fencing_token_ == 0;
+  const bool remains_silent =
+      is_same_process
+          ? report.store_response_at_ == known.store_response_at_
+          : was_silent && report.store_response_at_ == Duration::zero() &&
+                since - known.last_received_at_ <= kMaxRestartTime;
+  return report.sent_at_ && remains_silent
+             ? std::min(since, known.store_silent_since_)
+             : since;
+}
+
 auto InstanceDirectory::RecordLoadUpdate(const LoadUpdate& update,
                                          TimePoint now) -> bool {
   const auto found = instances_.find(update.instance_);
@@ -107,6 +128,7 @@
   for (auto& [name, instance] : instances_) {
     instance.last_received_at_ -= time;
     instance.healthy_since_ -= time;
+    instance.store_silent_since_ -= time;
   }
   for (auto& [name, received] : digests_) {
     received.received_at_ -= time;
@@ -313,17 +335,21 @@
                      });
 }
 
-auto InstanceDirectory::StoreUnreachableForAllSince(TimePoint now) const
-    -> std::optional<TimePoint> {
-  std::optional<TimePoint> oldest;
+auto InstanceDirectory::FindStoreOutage(TimePoint now) const
+    -> std::optional<StoreOutage> {
+  std::optional<StoreOutage> outage;
   for (const auto& [name, instance] : instances_) {
     if (!HasRecentReport(instance, now) || instance.store_connected_ ||
         instance.fencing_token_ != 0) {
       return std::nullopt;
     }
-    oldest = std::min(oldest.value_or(now), instance.last_received_at_);
+    if (!outage) {
+      outage = {instance.store_silent_since_, instance.last_received_at_};
+    }
+    outage->from_ = std::max(outage->from_, instance.store_silent_since_);
+    outage->until_ = std::min(outage->until_, instance.last_received_at_);
   }
-  return oldest;
+  return outage;
 }
 
 auto InstanceDirectory::CallerAddresses(const std::string& own,
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -27,6 +27,12 @@
   std::uint32_t cpu_permille_ = 0;
 };
 
+/// A time in which the store responded to no other instance.
+struct StoreOutage {
+  TimePoint from_{};
+  TimePoint until_{};
+};
+
 /// State of the other instances: those registered in the store and those that
 /// have sent reports or are named in digests.
 ///
@@ -52,6 +58,12 @@
   /// holder with a smaller CPU share releases the lease because of it, and
   /// before it becomes an entry instance.
   static constexpr Duration kMinHealthyTime = std::chrono::seconds(2);
+  /// Longest time between the last report of a process and the start of the
+  /// next one of its instance for which the store counts as silent to the
+  /// instance throughout, if both state so. The former process may have
+  /// acquired the order lease in that time, but has sent no order: it would
+  /// have waited for the handover interval, which is longer.
+  static constexpr Duration kMaxRestartTime = std::chrono::seconds(2);
   /// Maximum number of addresses in a directory response.
   static constexpr std::size_t kMaxAddresses = 64;
   /// Minimum number of addresses in a directory response, if so many exist:
@@ -87,6 +99,10 @@
     bool store_connected_ = true;
     bool has_load_ = false;  ///< The last report contained load at targets.
     TimePoint last_received_at_{};
+    /// Time since which the store has not responded to the instance.
+    TimePoint store_silent_since_{};
+    /// See PeerReport.
+    Duration store_response_at_{};
     TimePoint listed_at_{};  ///< Time of the last digest that names it.
     /// Fencing token of the last report; 0 unless the instance is the order
     /// lease holder.
@@ -211,12 +227,12 @@
   /// Requires a datagram within kSilenceTimeout from every other known
   /// instance. The last report of each must state that the instance does not
   /// reach the store and does not hold the order lease (the right to send load
-  /// and unload orders to engines). Takes the time at which the last datagram
-  /// of each instance was received and returns the earliest of these times.
+  /// and unload orders to engines). Returns the time in which the store has
+  /// responded to none of them, up to the earliest of their last datagrams.
   /// Returns nullopt if any instance does not meet these conditions or if no
   /// other instance is known.
-  [[nodiscard]] auto StoreUnreachableForAllSince(TimePoint now) const
-      -> std::optional<TimePoint>;
+  [[nodiscard]] auto FindStoreOutage(TimePoint now) const
+      -> std::optional<StoreOutage>;
   /// Returns the number of known instances, including this one. Instances that
   /// have failed count until Expire removes them.
   [[nodiscard]] auto CountIncludingSelf() const -> std::size_t {
@@ -253,6 +269,11 @@
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool {
     return is_coordinator_ && now - coordinator_since_ >= kSettlingTime;
   }
+  /// Returns since when the store has not responded to the sender of `report`.
+  /// `known` is the state of the instance before it.
+  [[nodiscard]] static auto StoreSilentSince(const PeerReport& report,
+                                             const Instance& known,
+                                             TimePoint now) -> TimePoint;
   auto UpdateCoordinators(TimePoint now) -> void;
   auto UpdateEntries(TimePoint now) -> void;
   /// Selects the entry instances from the reports of all instances. With
--- a/modules/baobab_gateway/instance_directory_test.cc
+++ b/modules/baobab_gateway/instance_directory_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
 #include <string>
 
 namespace baobab::gateway {
@@ -85,7 +87,7 @@
           {{false, false, true}, {true, false, false}, {false, true, false}}));
   InstanceDirectory directory;
   const TimePoint now = TimePoint{} + std::chrono::seconds(10);
-  CHECK_FALSE(directory.StoreUnreachableForAllSince(now).has_value());
+  CHECK_FALSE(directory.FindStoreOutage(now).has_value());
   for (const auto* name : {"a", "b", "c"}) {
     auto report = Report(name);
     report.store_connected_ = std::string(name) == "b" && connected;
@@ -93,7 +95,78 @@
                                                ? now - kExpiredSilence
                                                : now));
   }
-  CHECK(directory.StoreUnreachableForAllSince(now).has_value() == unreachable);
+  CHECK(directory.FindStoreOutage(now).has_value() == unreachable);
+}
+
+// Guards against an outage that seems to have begun before a process started or
+// before the store responded to it: it may have acquired the order lease then.
+TEST_CASE("An outage begins with the last response to any instance",
+          "[gateway]") {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  struct Case {
+    const char* what_;
+    std::int64_t incarnation_;  // of the second report; 1 in the first one
+    std::optional<Duration> sent_at_;
+    Duration store_response_at_;
+    Duration expected_from_;  // in the age of the first process
+  };
+  // The first report is sent at the age of 8 s, the second one 2 s later.
+  const auto test = GENERATE(values<Case>({
+      {"no response since the first report", 1, seconds(10), seconds(5),
+       seconds(5)},
+      {"a response between the reports", 1, seconds(10), milliseconds(8300),
+       milliseconds(8300)},
+      {"the process has started again", 2, milliseconds(900), seconds(0),
+       seconds(5)},
+      {"the next process had a response", 2, milliseconds(900),
+       milliseconds(400), milliseconds(9500)},
+      {"a report of an earlier version", 1, std::nullopt, seconds(0),
+       seconds(10)},
+  }));
+  INFO(test.what_);
+  InstanceDirectory directory;
+  const auto start = TimePoint{} + seconds(100);
+  const auto second_at = start + seconds(10);
+  auto report = Report("a");
+  report.store_connected_ = false;
+  report.sent_at_ = seconds(8);
+  report.store_response_at_ = seconds(5);
+  REQUIRE(directory.RecordReport(report, start + seconds(8)));
+  report.sequence_ = 2;
+  report.incarnation_ = test.incarnation_;
+  report.sent_at_ = test.sent_at_;
+  report.store_response_at_ = test.store_response_at_;
+  REQUIRE(directory.RecordReport(report, second_at));
+  const auto outage = directory.FindStoreOutage(second_at);
+  REQUIRE(outage.has_value());
+  CHECK(outage->from_ - start == test.expected_from_);
+  CHECK(outage->until_ == second_at);
+}
+
+// Guards against a process whose predecessor may have held the order lease for
+// some time since its last report, or acted as the holder before.
+TEST_CASE("An outage does not span a long gap between two processes",
+          "[gateway]") {
+  using std::chrono::seconds;
+  const auto [gap, held_lease] = GENERATE(
+      table<Duration, bool>({{seconds(3), false}, {seconds(1), true}}));
+  InstanceDirectory directory;
+  const auto start = TimePoint{} + seconds(100);
+  auto report = Report("a");
+  report.store_connected_ = false;
+  report.fencing_token_ = held_lease ? 7 : 0;
+  report.sent_at_ = seconds(8);
+  report.store_response_at_ = seconds(5);
+  REQUIRE(directory.RecordReport(report, start));
+  report.incarnation_ = 2;
+  report.fencing_token_ = 0;
+  report.sent_at_ = seconds(0);
+  report.store_response_at_ = seconds(0);
+  REQUIRE(directory.RecordReport(report, start + gap));
+  const auto outage = directory.FindStoreOutage(start + gap);
+  REQUIRE(outage.has_value());
+  CHECK(outage->from_ == start + gap);
 }
 
 // Guards against responses that exceed what callers read: they use the first 64
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -129,8 +129,8 @@
     election_.OnPeerHolder(token);
     ApplyDecisions();
   }
-  auto OnStoreUnreachableForAll(Duration at) -> void {
-    election_.OnStoreUnreachableForAll(at);
+  auto OnStoreOutage(Duration from, Duration until) -> void {
+    election_.OnStoreOutage(from, until);
   }
   auto OnStoreEntry(const StoreEntry& item) -> void {
     election_.OnStoreEntry(item, BootTime());
@@ -295,18 +295,26 @@
               .With("blocked_targets", event.blocked_targets_);
           break;
         case HolderEvent::Kind::kExpired:
+          LogLeaseState(event, "lapsed");
+          break;
         case HolderEvent::Kind::kRenewed:
-          LogEvent(LogLevel::kWarning, "holder_right")
-              .With("fence", event.fencing_token_)
-              .With("state", event.kind_ == HolderEvent::Kind::kExpired
-                                 ? "lapsed"
-                                 : "renewed")
-              .With("renewed_by", event.reason_);
+          LogLeaseState(event, "renewed");
+          break;
+        case HolderEvent::Kind::kMayHaveEnded:
+          LogLeaseState(event, "ended");
           break;
       }
     }
   }
 
+  static auto LogLeaseState(const HolderEvent& event, const char* state)
+      -> void {
+    LogEvent(LogLevel::kWarning, "holder_right")
+        .With("fence", event.fencing_token_)
+        .With("state", state)
+        .With("renewed_by", event.reason_);
+  }
+
   auto OnAcquired(const HolderEvent& event) -> void {
     if (registry_ != nullptr) {
       planner_.SetTargets(*registry_, Now());
--- a/modules/baobab_gateway/peer_report.cc
+++ b/modules/baobab_gateway/peer_report.cc
@@ -20,12 +20,14 @@
 constexpr std::uint64_t kStoreConnected = 4;
 constexpr std::uint64_t kHasStoreReadAge = 8;
 constexpr std::uint64_t kNeedsDigest = 16;
+constexpr std::uint64_t kHasExtension = 32;
 
 auto EncodeFlags(const PeerReport& report) -> std::uint64_t {
   return (report.ready_ ? kReady : 0U) | (report.stopping_ ? kStopping : 0U) |
          (report.store_connected_ ? kStoreConnected : 0U) |
          (report.store_read_age_ ? kHasStoreReadAge : 0U) |
-         (report.needs_digest_ ? kNeedsDigest : 0U);
+         (report.needs_digest_ ? kNeedsDigest : 0U) |
+         (report.sent_at_ ? kHasExtension : 0U);
 }
 
 auto EncodeLoad(ByteWriter& writer, const TargetLoad& load) -> void {
@@ -63,7 +65,7 @@
   }
 }
 
-auto DecodeReportHeader(ByteReader& reader, PeerReport& report) -> void {
+auto DecodeReportHeader(ByteReader& reader, PeerReport& report) -> bool {
   report.instance_ = reader.ReadString();
   report.incarnation_ = reader.ReadSigned();
   report.sequence_ = reader.ReadSigned();
@@ -82,6 +84,20 @@
   if ((flags & kHasStoreReadAge) != 0) {
     report.store_read_age_ = Duration(reader.ReadSigned());
   }
+  return (flags & kHasExtension) != 0;
+}
+
+auto EncodeReportExtension(ByteWriter& writer, const PeerReport& report)
+    -> void {
+  if (report.sent_at_) {
+    writer.WriteSigned(report.sent_at_->count());
+    writer.WriteSigned(report.store_response_at_.count());
+  }
+}
+
+auto DecodeReportExtension(ByteReader& reader, PeerReport& report) -> void {
+  report.sent_at_ = Duration(reader.ReadSigned());
+  report.store_response_at_ = Duration(reader.ReadSigned());
 }
 
 auto EncodeLoadUpdate(const LoadUpdate& update) -> std::string {
@@ -152,6 +168,7 @@
     writer.WriteString(change.adapter_);
     writer.WriteUnsigned(change.removed_ ? 1 : 0);
   }
+  EncodeReportExtension(writer, report);
   return writer.Take();
 }
 
@@ -162,7 +179,7 @@
       return std::nullopt;
     }
     PeerReport report;
-    DecodeReportHeader(reader, report);
+    const bool has_extension = DecodeReportHeader(reader, report);
     for (auto remaining = reader.ReadCount(); remaining > 0; --remaining) {
       auto target = reader.ReadString();
       report.load_[std::move(target)] = DecodeLoad(reader);
@@ -200,6 +217,9 @@
       change.removed_ = reader.ReadUnsigned() != 0;
       report.changes_.push_back(std::move(change));
     }
+    if (has_extension) {
+      DecodeReportExtension(reader, report);
+    }
     return report;
   } catch (const StepError&) {
     return std::nullopt;  // PeerLink logs and counts it.
--- a/modules/baobab_gateway/peer_report.h
+++ b/modules/baobab_gateway/peer_report.h
@@ -45,6 +45,12 @@
   /// instance, which reads the store for its peers.
   std::optional<Duration> store_read_age_;
   bool store_connected_ = false;  ///< The store responded recently.
+  /// When the report was sent, as the age of the sending process on its steady
+  /// clock. Missing in reports of earlier versions.
+  std::optional<Duration> sent_at_;
+  /// When the store last responded to the sender, on the same clock; zero if it
+  /// has not responded to this process. Meaningless without `sent_at_`.
+  Duration store_response_at_{};
   /// The instance knows no coordinator; the receiver replies with the digest
   /// that it uses itself.
   bool needs_digest_ = false;
@@ -88,12 +94,22 @@
     -> std::optional<LoadUpdate>;
 
 /// Writes the fields of a report that describe its sender: all before `load_`
-/// except `recent_orders_`.
+/// except `recent_orders_` and those of EncodeReportExtension().
 auto EncodeReportHeader(ByteWriter& writer, const PeerReport& report) -> void;
 
 /// Reads the fields that EncodeReportHeader wrote. Throws StepError if the
+/// bytes end before them. Returns true if the datagram ends with the fields of
+/// EncodeReportExtension().
+auto DecodeReportHeader(ByteReader& reader, PeerReport& report) -> bool;
+
+/// Writes the fields that were added after the first version of the encoding,
+/// at the end of a datagram, where earlier versions ignore them.
+auto EncodeReportExtension(ByteWriter& writer, const PeerReport& report)
+    -> void;
+
+/// Reads the fields that EncodeReportExtension wrote. Throws StepError if the
 /// bytes end before them.
-auto DecodeReportHeader(ByteReader& reader, PeerReport& report) -> void;
+auto DecodeReportExtension(ByteReader& reader, PeerReport& report) -> void;
 
 /// Encodes a report as the payload of a datagram.
 [[nodiscard]] auto EncodePeerReport(const PeerReport& report) -> std::string;
--- a/modules/baobab_gateway/peer_report_test.cc
+++ b/modules/baobab_gateway/peer_report_test.cc
@@ -18,6 +18,8 @@
   report.fencing_token_ = 12;
   report.cpu_permille_ = 120;
   report.store_read_age_ = std::chrono::milliseconds(40);
+  report.sent_at_ = std::chrono::milliseconds(4500);
+  report.store_response_at_ = std::chrono::milliseconds(2300);
   report.recent_orders_ = {{"t1", std::chrono::milliseconds(20)}};
   report.load_["t1"] = {3, 900, 4500, 250};
   report.demand_["m"] = 0.25;
@@ -36,6 +38,8 @@
   CHECK(decoded->fencing_token_ == 12);
   CHECK(decoded->cpu_permille_ == 120);
   CHECK(decoded->store_read_age_ == report.store_read_age_);
+  CHECK(decoded->sent_at_ == report.sent_at_);
+  CHECK(decoded->store_response_at_ == report.store_response_at_);
   CHECK(decoded->routing_revision_ == 99);
 }
 
@@ -65,6 +69,8 @@
   report.instance_ = "a";
   report.load_["t1"] = {3, 900, 4500, 250};
   report.changes_.push_back({"t1", "m", "a2", true});
+  report.sent_at_ = std::chrono::milliseconds(4500);
+  report.store_response_at_ = std::chrono::milliseconds(2300);
   const auto bytes = EncodePeerReport(report);
   for (std::size_t length = 0; length < bytes.size(); ++length) {
     INFO("truncated after " << length << " bytes");
