Keep the wait of a holder that acquires the order lease again

Cause: a holder that loses the lease while it waits for the former holder, for example in a short cut from the store, and acquires it again, finds its own name as that of the last holder. It then sent orders at once, and forgot the targets to which the former holder had sent orders.

Change: the end of the wait and the targets without orders belong to the process and not to the term; a report of the former holder does not end a wait of an earlier term.

--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -149,7 +149,8 @@
 auto HolderElection::OnAcquired(std::int64_t revision, Duration now) -> void {
   lease_.Acquire(revision, prior_holder_, grant_sent_, now);
   acquired_at_ = now;
-  blocked_until_.clear();
+  std::erase_if(blocked_until_,
+                [now](const auto& blocked) { return blocked.second <= now; });
   was_expired_ = false;
   may_have_ended_ = false;
   last_renewed_by_ = "store";
--- a/modules/baobab_gateway/holder_lease.h
+++ b/modules/baobab_gateway/holder_lease.h
@@ -56,27 +56,17 @@
     fencing_token_ = fencing_token;
     renewal_sent_at_ = sent;
     no_successor_until_ = sent + kStoreLeaseTtl;
-    switch (prior_holder) {
-      case PriorHolder::kOwn:
-        orders_allowed_from_ = now;
-        break;
-      case PriorHolder::kReleased:
-        orders_allowed_from_ = now + handover_interval_;
-        break;
-      case PriorHolder::kUnknownAfterOutage:
-        orders_allowed_from_ =
-            now + kValidity + handover_interval_ + kPostOutageWait;
-        break;
-      case PriorHolder::kUnknown:
-        orders_allowed_from_ = now + kValidity + handover_interval_;
-        break;
-    }
+    // A wait of an earlier term that has not ended goes on.
+    earlier_wait_ends_at_ = orders_allowed_from_;
+    orders_allowed_from_ =
+        std::max(orders_allowed_from_, now + HandoverWait(prior_holder));
   }
 
-  /// Ends the wait of a new holder: the former holder has reported that it
-  /// sends no more orders.
+  /// Ends the wait of a new holder, except for one from an earlier term of this
+  /// process: the former holder has reported that it sends no more orders.
   auto EndHandoverWait(Duration now) -> void {
-    orders_allowed_from_ = std::min(orders_allowed_from_, now);
+    orders_allowed_from_ =
+        std::max(earlier_wait_ends_at_, std::min(orders_allowed_from_, now));
   }
 
   /// Extends the lease after a successful renewal that was sent at `sent`.
@@ -123,12 +113,28 @@
   }
 
  private:
+  /// Returns the time from the acquisition of the lease to the first order.
+  [[nodiscard]] auto HandoverWait(PriorHolder prior_holder) const -> Duration {
+    switch (prior_holder) {
+      case PriorHolder::kOwn:
+        return Duration::zero();
+      case PriorHolder::kReleased:
+        return handover_interval_;
+      case PriorHolder::kUnknownAfterOutage:
+        return kValidity + handover_interval_ + kPostOutageWait;
+      case PriorHolder::kUnknown:
+        break;
+    }
+    return kValidity + handover_interval_;
+  }
+
   Duration handover_interval_;
   std::int64_t fencing_token_ = 0;
   Duration renewal_sent_at_{};
   // Time until which no other instance can have acquired the lease.
   Duration no_successor_until_{};
   Duration orders_allowed_from_{};
+  Duration earlier_wait_ends_at_{};  // of the terms before this one
 };
 
 }  // namespace baobab::gateway
