Let a holder of the order lease wait for all holders before it

What callers could see: orders of two holders to one engine within the handover interval.

Cause: what ended the wait of a new holder was knowledge of the last holder only: its release, its report that it sends no orders, or that it was an earlier process of the same instance. If the last holder itself was still waiting for the one before it, nobody waited for that one any more. A process whose acquisition got no response even reported that it had sent nothing without knowing that it was the holder.

Change: the entry of the last holder in the store says whether it still waits. Reports state the rest of the sender's wait, the recent orders of holders before it and the token of its last known term. A new holder trusts the report of a waiting holder only if that knows its term, and waits as long as it states.

Now 20,000 histories pass, with 3 to 7 instances, lost datagrams and responses, and calls that are carried out late.

--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -19,9 +19,11 @@
     ApplyChange(change);
   }
   ApplyReportHeader(report, now);
-  if (report.fencing_token_ == 0) {
-    holder_.OnPeerNotHolder(OwnerId(report.instance_, report.incarnation_),
-                            report.recent_orders_);
+  // Reports of earlier versions do not tell whether their sender had to wait.
+  if (report.fencing_token_ == 0 && report.sent_at_) {
+    holder_.OnPeerNotHolder({OwnerId(report.instance_, report.incarnation_),
+                             report.last_fencing_token_, report.handover_wait_,
+                             report.recent_orders_});
   }
   if (report.needs_digest_) {
     if (const auto* digest = directory_.CurrentDigest(now)) {
@@ -336,7 +338,10 @@
   report.needs_digest_ = directory_.HasDigests() && directory_.NeedsDigest(now);
   report.cpu_permille_ = settings_.cpu_permille_;
   report.load_ = dispatcher.OwnLoad(now);
-  report.recent_orders_ = holder_.RecentOrders();
+  auto handover = holder_.MakeHandoverReport();
+  report.recent_orders_ = std::move(handover.recent_orders_);
+  report.handover_wait_ = handover.wait_;
+  report.last_fencing_token_ = handover.last_token_;
   return report;
 }
 
--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -1,11 +1,44 @@
 #include "baobab_gateway/holder_election.h"
 
 #include <algorithm>
-#include <cstring>
 #include <random>
 #include <utility>
 
 namespace baobab::gateway {
+namespace {
+
+constexpr std::string_view kReleasedPrefix = "released";
+constexpr std::string_view kWaitingPrefix = "waiting";
+
+/// Removes `prefix` from the start of `text`. Returns false if it is missing.
+auto TakePrefix(std::string_view& text, std::string_view prefix) -> bool {
+  if (!text.starts_with(prefix)) {
+    return false;
+  }
+  text.remove_prefix(prefix.size());
+  return true;
+}
+
+}  // namespace
+
+auto LastHolder::Encode() const -> std::string {
+  std::string text;
+  if (has_released_) {
+    text += kReleasedPrefix;
+  }
+  if (is_waiting_) {
+    text += kWaitingPrefix;
+  }
+  return text + owner_id_;
+}
+
+auto LastHolder::Decode(std::string_view text) -> LastHolder {
+  LastHolder holder;
+  holder.has_released_ = TakePrefix(text, kReleasedPrefix);
+  holder.is_waiting_ = TakePrefix(text, kWaitingPrefix);
+  holder.owner_id_ = text;
+  return holder;
+}
 
 auto HolderElection::AddEvent(HolderEvent::Kind kind, const char* reason)
     -> void {
@@ -41,7 +74,7 @@
 auto HolderElection::OnStoreEntry(const StoreEntry& item, Duration now)
     -> void {
   if (item.key_ == last_holder_key_) {
-    last_holder_ = item.value_;
+    last_holder_ = LastHolder::Decode(item.value_);
     last_revision_ = item.removed_ ? 0 : item.revision_;
   }
   if (item.key_ != settings_.key_) {
@@ -58,21 +91,27 @@
   }
 }
 
-auto HolderElection::OnPeerNotHolder(const std::string& owner_id,
-                                     const RecentOrderList& recent,
-                                     Duration now) -> void {
-  if (!lease_.is_held() || owner_id != former_owner_id_) {
+auto HolderElection::OnPeerNotHolder(const HandoverReport& report, Duration now)
+    -> void {
+  if (!lease_.is_held() || former_.owner_id_.empty() ||
+      report.owner_id_ != former_.owner_id_) {
     return;
   }
-  former_owner_id_.clear();
-  for (const auto& [target, age] : recent) {
-    blocked_until_[target] =
-        now - age + settings_.handover_interval_ + settings_.handover_margin_;
+  if (former_.is_waiting_ && !former_.has_released_ &&
+      report.last_token_ != former_revision_) {
+    // The response to its acquisition was lost: it does not know that it was
+    // the holder, nor for whom it would have had to wait.
+    return;
   }
-  lease_.EndHandoverWait(now);
   AddEvent(HolderEvent::Kind::kWaitEnded, "");
-  events_.back().last_holder_ = owner_id;
-  events_.back().blocked_targets_ = recent.size();
+  events_.back().last_holder_ = std::exchange(former_, {}).owner_id_;
+  events_.back().blocked_targets_ = report.recent_orders_.size();
+  for (const auto& [target, age] : report.recent_orders_) {
+    auto& until = blocked_until_[target];
+    until = std::max(until, now - age + settings_.handover_interval_ +
+                                settings_.handover_margin_);
+  }
+  lease_.EndHandoverWait(now + report.wait_);
 }
 
 auto HolderElection::OnPeerHolder(std::int64_t token) -> void {
@@ -101,11 +140,21 @@
   lease_id_ = *lease_id;
   grant_sent_ = sent;
   prior_holder_ = PriorHolder(now);
-  former_owner_id_ = LastOwnerId();
+  former_ = last_holder_;
+  former_revision_ = last_revision_;
+  handover_end_recorded_ =
+      prior_holder_ == HolderLease::PriorHolder::kOwn && IsHandoverOver(now);
   calls_.push_back(
       {HolderStoreCall::Kind::kAcquire, lease_id_, AcquireTransaction()});
 }
 
+auto HolderElection::IsHandoverOver(Duration now) const -> bool {
+  return lease_.RemainingWait(now) == Duration::zero() &&
+         std::none_of(
+             blocked_until_.begin(), blocked_until_.end(),
+             [now](const auto& blocked) { return now < blocked.second; });
+}
+
 auto HolderElection::AcquireTransaction() const -> StoreTransaction {
   StoreTransaction change;
   change.preconditions_.push_back({settings_.key_, 0});
@@ -113,7 +162,8 @@
   // from which the former holder was read.
   change.preconditions_.push_back({last_holder_key_, last_revision_});
   change.writes_.push_back({settings_.key_, settings_.owner_id_, lease_id_});
-  change.writes_.push_back({last_holder_key_, settings_.owner_id_, 0});
+  const LastHolder self{settings_.owner_id_, false, !handover_end_recorded_};
+  change.writes_.push_back({last_holder_key_, self.Encode(), 0});
   return change;
 }
 
@@ -131,6 +181,13 @@
   }
 }
 
+auto HolderElection::OnHandoverEndRecorded(std::int64_t lease_id,
+                                           bool succeeded) -> void {
+  if (succeeded && lease_.is_held() && lease_id == lease_id_) {
+    handover_end_recorded_ = true;
+  }
+}
+
 auto HolderElection::OnRenewResult(
     std::int64_t lease_id, Duration sent,
     const std::variant<StoreLease, StoreFailure>& result) -> void {
@@ -148,6 +205,7 @@
 
 auto HolderElection::OnAcquired(std::int64_t revision, Duration now) -> void {
   lease_.Acquire(revision, prior_holder_, grant_sent_, now);
+  last_token_ = revision;
   acquired_at_ = now;
   std::erase_if(blocked_until_,
                 [now](const auto& blocked) { return blocked.second <= now; });
@@ -156,8 +214,8 @@
   last_renewed_by_ = "store";
   next_renewal_ = now + HolderLease::kRenewInterval;
   AddEvent(HolderEvent::Kind::kAcquired, "");
-  events_.back().last_holder_ = last_holder_;
-  events_.back().last_revision_ = last_revision_;
+  events_.back().last_holder_ = former_.Encode();
+  events_.back().last_revision_ = former_revision_;
 }
 
 auto HolderElection::OnLost(const char* reason) -> void {
@@ -175,8 +233,8 @@
   lease_id_ = 0;
   StoreTransaction change;
   change.preconditions_.push_back({settings_.key_, token});
-  change.writes_.push_back(
-      {last_holder_key_, kReleasedPrefix + settings_.owner_id_, 0});
+  const LastHolder self{settings_.owner_id_, true, !handover_end_recorded_};
+  change.writes_.push_back({last_holder_key_, self.Encode(), 0});
   change.removals_.push_back(settings_.key_);
   calls_.push_back({HolderStoreCall::Kind::kRelease, 0, std::move(change)});
 }
@@ -187,6 +245,15 @@
     next_renewal_ = now + HolderLease::kRenewInterval;
     calls.push_back({HolderStoreCall::Kind::kRenewLease, lease_id_, {}});
   }
+  if (lease_.MaySendOrders(now) && !handover_end_recorded_ &&
+      now >= next_record_ && IsHandoverOver(now)) {
+    next_record_ = now + kRecordInterval;
+    StoreTransaction change;
+    change.preconditions_.push_back({settings_.key_, lease_.fencing_token()});
+    change.writes_.push_back({last_holder_key_, settings_.owner_id_, 0});
+    calls.push_back({HolderStoreCall::Kind::kRecordHandoverEnd, lease_id_,
+                     std::move(change)});
+  }
   if (acquire_at_ && now >= *acquire_at_) {
     acquire_at_.reset();
     if (lease_is_free_ && !stopping_ && !lease_.is_held()) {
@@ -205,24 +272,25 @@
   }
   std::uniform_int_distribution<Duration::rep> contention(
       0, kMaxContentionDelay.count());
-  const bool known_other =
-      !last_holder_.empty() && !IsReleased() && !IsOwn(last_holder_);
+  const bool known_other = !last_holder_.owner_id_.empty() &&
+                           !last_holder_.has_released_ &&
+                           !IsOwn(last_holder_.owner_id_);
   acquire_at_ = now + (known_other ? kOtherHolderDelay : Duration::zero()) +
                 (stronger_peer_ ? kWeakerInstanceDelay : Duration::zero()) +
                 Duration(contention(random_));
 }
 
-auto HolderElection::LastOwnerId() const -> std::string {
-  return IsReleased() ? last_holder_.substr(std::strlen(kReleasedPrefix))
-                      : last_holder_;
-}
-
 auto HolderElection::PriorHolder(Duration now) const
     -> HolderLease::PriorHolder {
-  if (IsOwn(last_holder_)) {
+  // The wait of a term that this process knows of is kept in `lease_`.
+  const bool is_known_term = last_holder_.owner_id_ == settings_.owner_id_ &&
+                             last_token_ == last_revision_;
+  if (is_known_term ||
+      (IsOwn(last_holder_.owner_id_) && !last_holder_.has_released_ &&
+       !last_holder_.is_waiting_)) {
     return HolderLease::PriorHolder::kOwn;
   }
-  if (IsReleased()) {
+  if (last_holder_.has_released_ && !last_holder_.is_waiting_) {
     return HolderLease::PriorHolder::kReleased;
   }
   return now - store_reconnected_at_ < kPostOutagePeriod
@@ -249,14 +317,22 @@
   return blocked != blocked_until_.end() && now < blocked->second;
 }
 
-auto HolderElection::RecentOrders(Duration now) const -> RecentOrderList {
-  RecentOrderList recent;
-  for (const auto& [target, at] : last_order_at_) {
-    if (now - at < settings_.handover_interval_ + settings_.handover_margin_) {
-      recent.emplace_back(target, now - at);
+auto HolderElection::MakeHandoverReport(Duration now) const -> HandoverReport {
+  const auto blocking_time =
+      settings_.handover_interval_ + settings_.handover_margin_;
+  std::map<std::string, Duration> latest = last_order_at_;
+  for (const auto& [target, until] : blocked_until_) {
+    auto& at = latest[target];
+    at = std::max(at, until - blocking_time);
+  }
+  HandoverReport report{
+      settings_.owner_id_, last_token_, lease_.RemainingWait(now), {}};
+  for (const auto& [target, at] : latest) {
+    if (now - at < blocking_time) {
+      report.recent_orders_.emplace_back(target, now - at);
     }
   }
-  return recent;
+  return report;
 }
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/holder_election.h
+++ b/modules/baobab_gateway/holder_election.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -18,11 +19,13 @@
 /// A call to the store that HolderElection asks for.
 struct HolderStoreCall {
   enum class Kind : std::uint8_t {
-    kGrantLease,   ///< Report the result with OnLeaseGranted().
-    kAcquire,      ///< Commit `change_`; report it with OnAcquireResult().
-    kRenewLease,   ///< Renew `lease_id_`; report it with OnRenewResult().
-    kRelease,      ///< Commit `change_`; the result does not matter.
-    kRevokeLease,  ///< Revoke `lease_id_`; the result does not matter.
+    kGrantLease,  ///< Report the result with OnLeaseGranted().
+    kAcquire,     ///< Commit `change_`; report it with OnAcquireResult().
+    kRenewLease,  ///< Renew `lease_id_`; report it with OnRenewResult().
+    kRecordHandoverEnd,  ///< Commit `change_`; report it with
+                         ///< OnHandoverEndRecorded().
+    kRelease,            ///< Commit `change_`; the result does not matter.
+    kRevokeLease,        ///< Revoke `lease_id_`; the result does not matter.
   };
   Kind kind_ = Kind::kGrantLease;
   std::int64_t lease_id_ = 0;
@@ -53,19 +56,43 @@
   std::size_t blocked_targets_ = 0;  ///< Of kWaitEnded: see IsBlocked().
 };
 
+/// What a process that does not hold the order lease reports for a successor.
+struct HandoverReport {
+  std::string owner_id_;
+  /// Fencing token of the last term that the process knows of; 0: none.
+  std::int64_t last_token_ = 0;
+  /// Rest of the time for which the process itself would have to wait for the
+  /// holders before it.
+  Duration wait_{};
+  /// Targets to which the process or one before it recently sent orders, each
+  /// with the time since then.
+  std::vector<std::pair<std::string, Duration>> recent_orders_;
+};
+
+/// The last holder, as its entry in the store names it.
+struct LastHolder {
+  std::string owner_id_;
+  bool has_released_ = false;  ///< It released the lease.
+  /// It has not recorded that its wait for the holders before it is over. It
+  /// may have sent no order so far, and theirs may be recent.
+  bool is_waiting_ = false;
+
+  [[nodiscard]] auto Encode() const -> std::string;
+  [[nodiscard]] static auto Decode(std::string_view text) -> LastHolder;
+};
+
 /// Decides when this instance competes for the order lease, renews it, releases
 /// it and counts it as lost, and when and to which targets it may send orders.
 ///
 /// The lease is an entry of the store that names the current holder; a second
-/// entry names the last holder and stays when the lease ends. Pass in the
+/// entry names the last holder and stays when the lease ends. It also states
+/// whether the last holder still had to wait for the one before it: a third
+/// holder then waits as if it knew neither. Pass in the
 /// entries, the results of store calls and the reports of peers as they arrive.
 /// After each of them, and at the time that NextCompetition() returns, make the
 /// calls that Next() returns. All times are boot times (see BootTime()).
 class HolderElection {
  public:
-  /// Prefix of the owner id in the last holder's entry after it released the
-  /// lease.
-  static constexpr const char* kReleasedPrefix = "released";
   /// Maximum random delay before an instance tries to acquire a free lease, so
   /// that most instances see that another one has acquired it.
   static constexpr Duration kMaxContentionDelay =
@@ -89,8 +116,8 @@
   /// (HolderLease::PriorHolder::kUnknownAfterOutage).
   static constexpr Duration kPostOutagePeriod = std::chrono::seconds(3);
 
-  /// Targets with the time since the last order to each of them.
-  using RecentOrderList = std::vector<std::pair<std::string, Duration>>;
+  /// Interval at which a holder tries again to record that its wait is over.
+  static constexpr Duration kRecordInterval = std::chrono::seconds(1);
 
   struct Settings {
     std::string key_;       ///< Of the lease entry; `key_`/last: last holder.
@@ -129,14 +156,12 @@
   /// Handles a change of a store entry. Entries other than those of the current
   /// and the last holder are ignored.
   auto OnStoreEntry(const StoreEntry& item, Duration now) -> void;
-  /// Handles the report of the process `owner_id` that it does not hold the
-  /// lease. Ignored unless that process was the holder before this instance;
-  /// otherwise ends the wait for the former holder. `recent` lists the targets
-  /// to which the former holder recently sent orders (see RecentOrders()).
-  /// These targets get no order until the handover interval and its margin have
-  /// passed since that order.
-  auto OnPeerNotHolder(const std::string& owner_id,
-                       const RecentOrderList& recent, Duration now) -> void;
+  /// Handles the report of a process that it does not hold the lease. Ignored
+  /// unless that process was the holder before this instance and knows that;
+  /// otherwise ends the wait for the former holder. The targets with recent
+  /// orders get none until the handover interval and its margin have passed
+  /// since those.
+  auto OnPeerNotHolder(const HandoverReport& report, Duration now) -> void;
   /// Handles a report of another process with the fencing token `token`. This
   /// instance stops being the holder if the token is higher than its own.
   auto OnPeerHolder(std::int64_t token) -> void;
@@ -153,6 +178,8 @@
   /// Handles the result of kAcquire: the revision of the lease entry.
   auto OnAcquireResult(const std::variant<std::int64_t, StoreFailure>& result,
                        Duration now) -> void;
+  /// Handles the result of kRecordHandoverEnd in the term with `lease_id`.
+  auto OnHandoverEndRecorded(std::int64_t lease_id, bool succeeded) -> void;
   /// Handles the result of the renewal of `lease_id` that was sent at `sent`.
   auto OnRenewResult(std::int64_t lease_id, Duration sent,
                      const std::variant<StoreLease, StoreFailure>& result)
@@ -180,9 +207,8 @@
   auto OnOrderSent(const std::string& target, Duration now) -> void {
     last_order_at_[target] = now;
   }
-  /// Returns the targets to which this process sent orders within the handover
-  /// interval and its margin, each with the time since its last order.
-  [[nodiscard]] auto RecentOrders(Duration now) const -> RecentOrderList;
+  /// Returns what a successor must know if this process is not the holder.
+  [[nodiscard]] auto MakeHandoverReport(Duration now) const -> HandoverReport;
 
   /// Returns true if this instance holds the lease, even if that has expired
   /// locally.
@@ -206,24 +232,20 @@
   /// Returns what is known of the last holder.
   [[nodiscard]] auto PriorHolder(Duration now) const
       -> HolderLease::PriorHolder;
-  /// Returns true if the last holder released the lease.
-  [[nodiscard]] auto IsReleased() const -> bool {
-    return last_holder_.starts_with(kReleasedPrefix);
-  }
-  /// Returns the owner id of the last holder.
-  [[nodiscard]] auto LastOwnerId() const -> std::string;
+  /// Returns true if this holder has neither to wait for the former one nor to
+  /// leave out any target.
+  [[nodiscard]] auto IsHandoverOver(Duration now) const -> bool;
   /// Returns true if `owner_id` names a process of this instance.
   [[nodiscard]] auto IsOwn(const std::string& owner_id) const -> bool {
     return owner_id.substr(0, owner_id.find('/')) == settings_.instance_;
   }
 
   Settings settings_;
-  // Key of the entry with the last holder's owner id, prefixed by
-  // kReleasedPrefix if it released the lease.
   std::string last_holder_key_;
-  std::string last_holder_;
+  LastHolder last_holder_;
   std::int64_t last_revision_ = 0;
-  std::string former_owner_id_;  // of the holder before this instance
+  LastHolder former_;  // the holder before this instance
+  std::int64_t former_revision_ = 0;
   HolderLease lease_;
   Random random_;
   std::vector<HolderStoreCall> calls_;
@@ -236,13 +258,16 @@
   std::optional<Duration> acquire_at_;
   HolderLease::PriorHolder prior_holder_ = HolderLease::PriorHolder::kUnknown;
   std::int64_t lease_id_ = 0;
+  std::int64_t last_token_ = 0;  // of the last term of this process
   Duration grant_sent_{};
   Duration acquired_at_{};
   Duration next_renewal_{};
+  Duration next_record_{};
   Duration store_reconnected_at_ = -kPostOutagePeriod;
   const char* last_renewed_by_ = "store";
   bool store_connected_ = false;
   bool stronger_peer_ = false;
+  bool handover_end_recorded_ = false;  // see LastHolder::is_waiting_
   bool was_expired_ = false;
   bool may_have_ended_ = false;  // kMayHaveEnded was added since the renewal
   bool started_ = false;
--- a/modules/baobab_gateway/holder_election_test.cc
+++ b/modules/baobab_gateway/holder_election_test.cc
@@ -12,16 +12,19 @@
 
 constexpr Duration kHandoverInterval = seconds(3);
 constexpr Duration kMargin = milliseconds(700);
+/// Revision of the entry that names the last holder.
+constexpr std::int64_t kLastRevision = 10;
 
 /// Drives the election of instance "b" against a store that grants every call.
 class ElectionFixture {
  public:
-  ElectionFixture()
+  /// `last_holder` is the value of the entry that names the last holder.
+  explicit ElectionFixture(const std::string& last_holder = "a/1")
       : election_({"orders", "b", "b/1", kHandoverInterval, kMargin}, 1) {
     election_.SetMayCompete(true);
     election_.SetStoreConnected(true, now_ - seconds(60));
-    election_.OnStoreEntry({"orders/last", former_, ++revision_, 0, false},
-                           now_);
+    election_.OnStoreEntry(
+        {"orders/last", last_holder, kLastRevision, 0, false}, now_);
     election_.Start();
   }
 
@@ -52,8 +55,9 @@
     election_.OnRenewResult(lease_id_, now_, StoreLease{lease_id_, {}});
   }
 
+  [[nodiscard]] auto lease_id() const -> std::int64_t { return lease_id_; }
+
   Duration now_ = seconds(100);
-  std::string former_ = "a/1";
   HolderElection election_;
 
  private:
@@ -64,7 +68,7 @@
     }
   }
 
-  std::int64_t revision_ = 10;
+  std::int64_t revision_ = kLastRevision;
   std::int64_t lease_id_ = 0;
 };
 
@@ -78,8 +82,8 @@
   fixture.Acquire();
   const auto acquired_at = fixture.now_;
   if (former_has_reported) {
-    fixture.election_.OnPeerNotHolder("a/1", {{"t1", milliseconds(100)}},
-                                      fixture.now_);
+    fixture.election_.OnPeerNotHolder(
+        {"a/1", 7, {}, {{"t1", milliseconds(100)}}}, fixture.now_);
   }
   fixture.Pass(milliseconds(500));
   fixture.EndLease();
@@ -96,5 +100,90 @@
   CHECK_FALSE(fixture.election_.IsBlocked("t1", fixture.now_));
 }
 
+// Guards against a holder that trusts the report of the former one although
+// that had to wait for an earlier holder, or did not know that it was the
+// holder.
+TEST_CASE("The wait of a new holder follows from what is known of the last one",
+          "[gateway]") {
+  struct Case {
+    const char* what_;
+    std::string last_holder_;
+    bool has_reported_;
+    std::int64_t reported_token_;
+    Duration reported_wait_;
+    Duration expected_wait_;  // after the acquisition
+  };
+  constexpr auto kUnknownWait = HolderLease::kValidity + kHandoverInterval;
+  const auto test = GENERATE_COPY(values<Case>({
+      {"unknown", "a/1", false, 0, {}, kUnknownWait},
+      {"reported", "a/1", true, 7, {}, {}},
+      {"another process reported", "a/2", true, 7, {}, kUnknownWait},
+      {"released", "releaseda/1", false, 0, {}, kHandoverInterval},
+      {"waiting", "waitinga/1", false, 0, {}, kUnknownWait},
+      {"waiting, reported its wait", "waitinga/1", true, kLastRevision,
+       seconds(2), seconds(2)},
+      {"waiting, does not know its term",
+       "waitinga/1",
+       true,
+       7,
+       {},
+       kUnknownWait},
+      {"released while waiting",
+       "releasedwaitinga/1",
+       false,
+       0,
+       {},
+       kUnknownWait},
+      {"released while waiting, reported", "releasedwaitinga/1", true, 9,
+       seconds(1), seconds(1)},
+      {"earlier process of this instance", "b/0", false, 0, {}, {}},
+      {"earlier process of this instance, waiting",
+       "waitingb/0",
+       false,
+       0,
+       {},
+       kUnknownWait},
+  }));
+  INFO(test.what_);
+  ElectionFixture fixture(test.last_holder_);
+  fixture.Acquire();
+  const auto acquired_at = fixture.now_;
+  if (test.has_reported_) {
+    fixture.election_.OnPeerNotHolder(
+        {"a/1", test.reported_token_, test.reported_wait_, {}}, fixture.now_);
+  }
+  if (test.expected_wait_ > Duration::zero()) {
+    fixture.Pass(test.expected_wait_ - milliseconds(1));
+    CHECK_FALSE(fixture.election_.MaySendOrders(fixture.now_));
+  }
+  fixture.Pass(acquired_at + test.expected_wait_ - fixture.now_);
+  CHECK(fixture.election_.MaySendOrders(fixture.now_));
+}
+
+// Guards against a holder that is taken for a waiting one after it has sent
+// orders, so that each successor waits longer than necessary.
+TEST_CASE("A holder records that its wait is over", "[gateway]") {
+  ElectionFixture fixture;
+  fixture.Acquire();
+  fixture.election_.OnPeerNotHolder({"a/1", 7, {}, {{"t1", milliseconds(0)}}},
+                                    fixture.now_);
+  const auto records = [&fixture] {
+    int count = 0;
+    for (const auto& call : fixture.election_.Next(fixture.now_)) {
+      count += call.kind_ == HolderStoreCall::Kind::kRecordHandoverEnd ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(records() == 0);  // t1 gets no order so far
+  fixture.Pass(kHandoverInterval + kMargin);
+  CHECK(records() == 1);
+  CHECK(records() == 0);  // the result is outstanding
+  fixture.Pass(HolderElection::kRecordInterval);
+  CHECK(records() == 1);
+  fixture.election_.OnHandoverEndRecorded(fixture.lease_id(), true);
+  fixture.Pass(HolderElection::kRecordInterval);
+  CHECK(records() == 0);
+}
+
 }  // namespace
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/holder_lease.h
+++ b/modules/baobab_gateway/holder_lease.h
@@ -62,11 +62,17 @@
         std::max(orders_allowed_from_, now + HandoverWait(prior_holder));
   }
 
-  /// Ends the wait of a new holder, except for one from an earlier term of this
-  /// process: the former holder has reported that it sends no more orders.
-  auto EndHandoverWait(Duration now) -> void {
+  /// Ends the wait of a new holder at `at`, except for one from an earlier term
+  /// of this process: the former holder has reported that it sends no more
+  /// orders, and that nobody before it has sent one later than that permits.
+  auto EndHandoverWait(Duration at) -> void {
     orders_allowed_from_ =
-        std::max(earlier_wait_ends_at_, std::min(orders_allowed_from_, now));
+        std::max(earlier_wait_ends_at_, std::min(orders_allowed_from_, at));
+  }
+
+  /// Returns the rest of the wait of this holder, or of its last term.
+  [[nodiscard]] auto RemainingWait(Duration now) const -> Duration {
+    return std::max(Duration::zero(), orders_allowed_from_ - now);
   }
 
   /// Extends the lease after a successful renewal that was sent at `sent`.
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -120,9 +120,8 @@
   auto SetStoreConnected(bool connected) -> void {
     election_.SetStoreConnected(connected, BootTime());
   }
-  auto OnPeerNotHolder(const std::string& owner_id,
-                       const HolderElection::RecentOrderList& recent) -> void {
-    election_.OnPeerNotHolder(owner_id, recent, BootTime());
+  auto OnPeerNotHolder(const HandoverReport& report) -> void {
+    election_.OnPeerNotHolder(report, BootTime());
     ApplyDecisions();
   }
   auto OnPeerHolder(std::int64_t token) -> void {
@@ -136,8 +135,8 @@
     election_.OnStoreEntry(item, BootTime());
     ApplyDecisions();
   }
-  [[nodiscard]] auto RecentOrders() const -> HolderElection::RecentOrderList {
-    return election_.RecentOrders(BootTime());
+  [[nodiscard]] auto MakeHandoverReport() const -> HandoverReport {
+    return election_.MakeHandoverReport(BootTime());
   }
 
   /// Runs the planner and sends the orders and report requests that it returns.
@@ -260,6 +259,12 @@
                             ApplyDecisions();
                           });
         break;
+      case HolderStoreCall::Kind::kRecordHandoverEnd:
+        store_.Commit(call.change_, [this, id = call.lease_id_](auto result) {
+          election_.OnHandoverEndRecorded(
+              id, std::holds_alternative<std::int64_t>(result));
+        });
+        break;
       case HolderStoreCall::Kind::kRelease:
         store_.Commit(call.change_, [](const auto&) {});
         break;
--- a/modules/baobab_gateway/order_lease_fleet_test.cc
+++ b/modules/baobab_gateway/order_lease_fleet_test.cc
@@ -1,6 +1,9 @@
 // Replays faults around the order lease in whole fleets under virtual time.
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <random>
 #include <vector>
 
 #include "baobab_gateway/simulated_lease_fleet.h"
@@ -95,5 +98,114 @@
   CHECK(fleet.violation_count() == 0);
 }
 
+// Guards against a third holder that learns of the second one that it sends no
+// orders, and sends its own although those of the first one are recent: the
+// second one was still waiting.
+TEST_CASE("A third holder waits for the first one", "[gateway]") {
+  struct Case {
+    const char* what_;
+    std::size_t instances_;
+    std::vector<Fleet::Event> events_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"planned stops of two holders in turn",
+       7,
+       {{milliseconds(500), Fault::kHolderStop, {}, 0},
+        {milliseconds(1300), Fault::kHolderStop, {}, 0},
+        {milliseconds(2100), Fault::kHolderStop, {}, 0}}},
+      {"the first one is cut off, the second one stops",
+       7,
+       {{milliseconds(500), Fault::kCut, seconds(6), 0},
+        {milliseconds(3000), Fault::kHolderStop, {}, 0}}},
+      {"the first one is cut off, the second one stops",
+       300,
+       {{milliseconds(500), Fault::kCut, seconds(6), 0},
+        {milliseconds(3000), Fault::kHolderStop, {}, 0}}},
+      {"the first one is cut off, the second one ends and starts again",
+       3,
+       {{milliseconds(500), Fault::kCut, seconds(6), 0},
+        {milliseconds(3000), Fault::kHolderKill, {}, 0}}},
+      {"the first one is cut off, the second one misses the store",
+       7,
+       {{milliseconds(500), Fault::kCut, seconds(6), 0},
+        {milliseconds(3000), Fault::kHolderStoreCut, seconds(4), 0}}},
+  }));
+  const auto seed = GENERATE(std::uint64_t{1}, std::uint64_t{2});
+  INFO(test.what_ << ", " << test.instances_ << " instances");
+  Fleet fleet({.instances_ = test.instances_, .seed_ = seed});
+  fleet.RunUntilFirstOrder();
+  fleet.Run(seconds(4));
+  fleet.Schedule(test.events_);
+  fleet.Run(seconds(12));
+  INFO(fleet.first_violation());
+  CHECK(fleet.violation_count() == 0);
+  (void)fleet.TakeOrderCount();
+  fleet.Run(seconds(3));
+  CHECK(fleet.TakeOrderCount() > 0);
+}
+
+/// Draws faults within 20 s that overlap and repeat.
+auto DrawEvents(std::size_t instances, std::uint64_t seed)
+    -> std::vector<Fleet::Event> {
+  Random random(seed);
+  const auto draw = [&random](int from, int to) {
+    return std::uniform_int_distribution<int>(from, to)(random);
+  };
+  constexpr std::array kFaults = {
+      Fault::kCut,        Fault::kStoreCut,   Fault::kFreeze,
+      Fault::kPause,      Fault::kKill,       Fault::kStop,
+      Fault::kHolderStop, Fault::kHolderKill, Fault::kHolderStoreCut,
+      Fault::kStoreDown};
+  std::vector<Fleet::Event> events;
+  for (int count = draw(2, 10); count > 0; --count) {
+    Fleet::Event event;
+    event.at_ = milliseconds(draw(0, 20'000));
+    event.fault_ = kFaults[static_cast<std::size_t>(
+        draw(0, static_cast<int>(kFaults.size()) - 1))];
+    event.time_ = milliseconds(draw(200, 9000));
+    // Half of the faults meet the first holder.
+    event.index_ = draw(0, 1) == 0 ? 0
+                                   : static_cast<std::size_t>(draw(
+                                         0, static_cast<int>(instances) - 1));
+    events.push_back(event);
+  }
+  return events;
+}
+
+auto RunHistory(std::uint64_t seed) -> void {
+  const std::size_t instances = 3 + seed % 5;
+  INFO("seed " << seed << ", " << instances << " instances");
+  Fleet fleet({.instances_ = instances,
+               .seed_ = seed,
+               .leases_expire_in_outage_ = seed % 2 == 0,
+               .datagram_loss_ = seed % 3 == 0 ? 0.3 : 0.01,
+               .response_loss_ = seed % 4 == 0 ? 0.15 : 0});
+  fleet.RunUntilFirstOrder();
+  fleet.Schedule(DrawEvents(instances, seed));
+  fleet.Run(seconds(40));
+  INFO(fleet.first_violation());
+  CHECK(fleet.violation_count() == 0);
+  (void)fleet.TakeOrderCount();
+  fleet.Run(seconds(4));
+  CHECK(fleet.TakeOrderCount() > 0);
+}
+
+// Guards against holders that follow each other too closely, and against a
+// fleet that stays without one, in histories of cuts, suspensions, ends of
+// processes and outages of the store that overlap.
+TEST_CASE("Orders of two holders keep the handover interval", "[gateway]") {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    RunHistory(seed);
+  }
+}
+
+// The same with more seeds; to be run by hand.
+TEST_CASE("Orders of two holders keep the handover interval, long",
+          "[.][long]") {
+  for (std::uint64_t seed = 300; seed < 20'000; ++seed) {
+    RunHistory(seed);
+  }
+}
+
 }  // namespace
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/peer_report.cc
+++ b/modules/baobab_gateway/peer_report.cc
@@ -92,12 +92,16 @@
   if (report.sent_at_) {
     writer.WriteSigned(report.sent_at_->count());
     writer.WriteSigned(report.store_response_at_.count());
+    writer.WriteSigned(report.handover_wait_.count());
+    writer.WriteSigned(report.last_fencing_token_);
   }
 }
 
 auto DecodeReportExtension(ByteReader& reader, PeerReport& report) -> void {
   report.sent_at_ = Duration(reader.ReadSigned());
   report.store_response_at_ = Duration(reader.ReadSigned());
+  report.handover_wait_ = Duration(reader.ReadSigned());
+  report.last_fencing_token_ = reader.ReadSigned();
 }
 
 auto EncodeLoadUpdate(const LoadUpdate& update) -> std::string {
--- a/modules/baobab_gateway/peer_report.h
+++ b/modules/baobab_gateway/peer_report.h
@@ -58,9 +58,14 @@
   std::uint32_t cpu_permille_ = 0;
   /// Fencing token of the order lease if the instance holds it, otherwise 0.
   std::int64_t fencing_token_ = 0;
-  /// Targets to which the instance recently sent orders, with the time since
-  /// the last order.
+  /// Targets to which the instance, or a holder before it, recently sent
+  /// orders, with the time since the last order.
   std::vector<std::pair<std::string, Duration>> recent_orders_;
+  /// Rest of the time for which the sender would have to wait for earlier
+  /// holders, and the fencing token of its last term (0: none). Meaningless
+  /// without `sent_at_`.
+  Duration handover_wait_{};
+  std::int64_t last_fencing_token_ = 0;
   LoadByTarget load_;
   // Sent only to the order lease holder:
   /// Engine time that the requests need per unit of time, by model.
--- a/modules/baobab_gateway/peer_report_test.cc
+++ b/modules/baobab_gateway/peer_report_test.cc
@@ -20,6 +20,8 @@
   report.store_read_age_ = std::chrono::milliseconds(40);
   report.sent_at_ = std::chrono::milliseconds(4500);
   report.store_response_at_ = std::chrono::milliseconds(2300);
+  report.handover_wait_ = std::chrono::milliseconds(1200);
+  report.last_fencing_token_ = 11;
   report.recent_orders_ = {{"t1", std::chrono::milliseconds(20)}};
   report.load_["t1"] = {3, 900, 4500, 250};
   report.demand_["m"] = 0.25;
@@ -40,6 +42,8 @@
   CHECK(decoded->store_read_age_ == report.store_read_age_);
   CHECK(decoded->sent_at_ == report.sent_at_);
   CHECK(decoded->store_response_at_ == report.store_response_at_);
+  CHECK(decoded->handover_wait_ == report.handover_wait_);
+  CHECK(decoded->last_fencing_token_ == 11);
   CHECK(decoded->routing_revision_ == 99);
 }
 
--- a/modules/baobab_gateway/simulated_lease_fleet.h
+++ b/modules/baobab_gateway/simulated_lease_fleet.h
@@ -30,15 +30,17 @@
 class SimulatedLeaseFleet {
  public:
   enum class Fault : std::uint8_t {
-    kCut,         ///< Isolated from store, peers and targets.
-    kStoreCut,    ///< Isolated from the store only.
-    kFreeze,      ///< Suspended; the steady clock stands still.
-    kPause,       ///< Gets no processor time; the steady clock runs on.
-    kKill,        ///< The process ends and starts again.
-    kKillOthers,  ///< As kKill, of all other instances.
-    kStop,        ///< The process ends as planned and starts again.
-    kHolderStop,  ///< As kStop, of the instance that holds the lease.
-    kStoreDown,   ///< The store responds to nobody.
+    kCut,             ///< Isolated from store, peers and targets.
+    kStoreCut,        ///< Isolated from the store only.
+    kFreeze,          ///< Suspended; the steady clock stands still.
+    kPause,           ///< Gets no processor time; the steady clock runs on.
+    kKill,            ///< The process ends and starts again.
+    kKillOthers,      ///< As kKill, of all other instances.
+    kStop,            ///< The process ends as planned and starts again.
+    kHolderStop,      ///< As kStop, of the instance that holds the lease.
+    kHolderKill,      ///< As kKill, of the instance that holds the lease.
+    kHolderStoreCut,  ///< As kStoreCut, of the instance that holds the lease.
+    kStoreDown,       ///< The store responds to nobody.
   };
   struct Event {
     Duration at_{};  ///< Since the start of the fleet.
@@ -51,6 +53,8 @@
     std::uint64_t seed_ = 1;
     bool leases_expire_in_outage_ = false;
     double datagram_loss_ = 0.01;
+    /// Share of store calls whose response is lost.
+    double response_loss_ = 0;
   };
 
   /// Minimum interval between orders of two holders to one target.
@@ -332,7 +336,10 @@
     report.store_response_at_ =
         std::max(self.last_response_, self.started_at_) - self.started_at_;
     report.fencing_token_ = self.election_.fencing_token();
-    report.recent_orders_ = self.election_.RecentOrders(now_);
+    auto handover = self.election_.MakeHandoverReport(now_);
+    report.recent_orders_ = std::move(handover.recent_orders_);
+    report.handover_wait_ = handover.wait_;
+    report.last_fencing_token_ = handover.last_token_;
     return report;
   }
 
@@ -376,8 +383,10 @@
     self.election_.OnPeerHolder(report.fencing_token_);
     if (report.fencing_token_ == 0) {
       self.election_.OnPeerNotHolder(
-          report.instance_ + "/" + std::to_string(report.incarnation_),
-          report.recent_orders_, now_);
+          {report.instance_ + "/" + std::to_string(report.incarnation_),
+           report.last_fencing_token_, report.handover_wait_,
+           report.recent_orders_},
+          now_);
     }
     MakeCalls(self);
   }
@@ -474,13 +483,17 @@
       }
       const auto result = execute(*this);
       After(Latency(), [this, process, machine, on_result, result] {
-        const bool arrives = IsStoreReachable(*machine);
-        RunIn(process, [this, on_result, result, arrives](Process& to) {
-          if (arrives) {
-            to.last_response_ = SteadyNow(*to.machine_);
-          }
-          on_result(to, arrives ? std::optional<Result>(result)
-                                : std::optional<Result>());
+        if (!IsStoreReachable(*machine) || Chance(options_.response_loss_)) {
+          After(kCallTimeout, [this, process, on_result] {
+            RunIn(process, [on_result](Process& to) {
+              on_result(to, std::optional<Result>());
+            });
+          });
+          return;
+        }
+        RunIn(process, [this, on_result, result](Process& to) {
+          to.last_response_ = SteadyNow(*to.machine_);
+          on_result(to, std::optional<Result>(result));
         });
       });
     });
@@ -543,6 +556,18 @@
               MakeCalls(to);
             });
         break;
+      case Kind::kRecordHandoverEnd:
+        CallStore(
+            self,
+            [change = call.change_](SimulatedLeaseFleet& fleet) {
+              return fleet.Commit(change);
+            },
+            [id = call.lease_id_](Process& to,
+                                  std::optional<AcquireResult> result) {
+              to.election_.OnHandoverEndRecorded(
+                  id, result && std::holds_alternative<std::int64_t>(*result));
+            });
+        break;
       case Kind::kRelease:
         CallStore(
             self,
@@ -652,7 +677,12 @@
   // --- faults
 
   auto Begin(const Event& event) -> void {
-    auto* machine = machines_[event.index_ % machines_.size()].get();
+    const bool is_of_holder = event.fault_ == Fault::kHolderStop ||
+                              event.fault_ == Fault::kHolderKill ||
+                              event.fault_ == Fault::kHolderStoreCut;
+    auto* machine = is_of_holder
+                        ? FindHolder(event.index_)
+                        : machines_[event.index_ % machines_.size()].get();
     switch (event.fault_) {
       case Fault::kCut:
         ++machine->cuts_;
@@ -662,6 +692,7 @@
         });
         break;
       case Fault::kStoreCut:
+      case Fault::kHolderStoreCut:
         ++machine->store_cuts_;
         After(event.time_, [machine] { --machine->store_cuts_; });
         break;
@@ -684,6 +715,7 @@
         });
         break;
       case Fault::kKill:
+      case Fault::kHolderKill:
         EndProcess(*machine);
         break;
       case Fault::kKillOthers:
@@ -694,14 +726,6 @@
         }
         break;
       case Fault::kHolderStop:
-        for (const auto& candidate : machines_) {
-          if (candidate->process_ && !candidate->process_->stopping_ &&
-              candidate->process_->election_.is_held() &&
-              candidate->cuts_ == 0) {
-            machine = candidate.get();
-          }
-        }
-        [[fallthrough]];
       case Fault::kStop:
         BeginStop(*machine);
         break;
@@ -719,6 +743,18 @@
     }
   }
 
+  /// Returns the connected instance that holds the lease; without one, instance
+  /// `fallback`.
+  [[nodiscard]] auto FindHolder(std::size_t fallback) const -> Machine* {
+    for (const auto& machine : machines_) {
+      if (machine->process_ && !machine->process_->stopping_ &&
+          machine->process_->election_.is_held() && machine->cuts_ == 0) {
+        return machine.get();
+      }
+    }
+    return machines_[fallback % machines_.size()].get();
+  }
+
   auto Resume(Machine& machine) -> void {
     machine.disturbed_until_ = now_;
     if (!IsSuspended(machine)) {
