Take load updates for no evidence of an outage of the store

An instance extends its order lease up to the last datagram of each peer, if the last report of each states that the peer misses the store.

Only the time of reports and digests counts now. The new test failed before in both of its checks.

--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -66,6 +66,7 @@
   entry.store_connected_ = report.store_connected_;
   entry.has_load_ = !report.load_.empty();
   entry.last_received_at_ = now;
+  entry.reported_at_ = now;
   entry.fencing_token_ = report.fencing_token_;
   return true;
 }
@@ -83,7 +84,7 @@
       is_same_process
           ? report.store_response_at_ == known.store_response_at_
           : was_silent && report.store_response_at_ == Duration::zero() &&
-                since - known.last_received_at_ <= kMaxRestartTime;
+                since - known.reported_at_ <= kMaxRestartTime;
   return report.sent_at_ && remains_silent
              ? std::min(since, known.store_silent_since_)
              : since;
@@ -127,6 +128,7 @@
 auto InstanceDirectory::OnSuspended(Duration time) -> void {
   for (auto& [name, instance] : instances_) {
     instance.last_received_at_ -= time;
+    instance.reported_at_ -= time;
     instance.healthy_since_ -= time;
     instance.store_silent_since_ -= time;
   }
@@ -339,15 +341,16 @@
     -> std::optional<StoreOutage> {
   std::optional<StoreOutage> outage;
   for (const auto& [name, instance] : instances_) {
-    if (!HasRecentReport(instance, now) || instance.store_connected_ ||
-        instance.fencing_token_ != 0) {
+    if (!instance.has_reported_ ||
+        now - instance.reported_at_ > kSilenceTimeout ||
+        instance.store_connected_ || instance.fencing_token_ != 0) {
       return std::nullopt;
     }
     if (!outage) {
-      outage = {instance.store_silent_since_, instance.last_received_at_};
+      outage = {instance.store_silent_since_, instance.reported_at_};
     }
     outage->from_ = std::max(outage->from_, instance.store_silent_since_);
-    outage->until_ = std::min(outage->until_, instance.last_received_at_);
+    outage->until_ = std::min(outage->until_, instance.reported_at_);
   }
   return outage;
 }
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -99,6 +99,9 @@
     bool store_connected_ = true;
     bool has_load_ = false;  ///< The last report contained load at targets.
     TimePoint last_received_at_{};
+    /// Time of the last report or digest. Load updates state nothing of the
+    /// store and of the order lease.
+    TimePoint reported_at_{};
     /// Time since which the store has not responded to the instance.
     TimePoint store_silent_since_{};
     /// See PeerReport.
@@ -224,11 +227,11 @@
                                      TimePoint now) const -> bool;
   /// Checks whether, by their reports, no other instance reaches the store.
   ///
-  /// Requires a datagram within kSilenceTimeout from every other known
+  /// Requires a report within kSilenceTimeout from every other known
   /// instance. The last report of each must state that the instance does not
   /// reach the store and does not hold the order lease (the right to send load
   /// and unload orders to engines). Returns the time in which the store has
-  /// responded to none of them, up to the earliest of their last datagrams.
+  /// responded to none of them, up to the earliest of their last reports.
   /// Returns nullopt if any instance does not meet these conditions or if no
   /// other instance is known.
   [[nodiscard]] auto FindStoreOutage(TimePoint now) const
--- a/modules/baobab_gateway/instance_directory_test.cc
+++ b/modules/baobab_gateway/instance_directory_test.cc
@@ -144,6 +144,28 @@
   CHECK(outage->until_ == second_at);
 }
 
+// Guards against load updates that prolong what the last report stated: the
+// sender may have reached the store and acquired the order lease since.
+TEST_CASE("A load update does not prolong an outage of the store",
+          "[gateway]") {
+  using std::chrono::milliseconds;
+  InstanceDirectory directory;
+  const auto start = TimePoint{} + std::chrono::seconds(100);
+  auto report = Report("a");
+  report.store_connected_ = false;
+  report.sent_at_ = milliseconds(8000);
+  REQUIRE(directory.RecordReport(report, start));
+  const auto updated_at = start + milliseconds(1000);
+  REQUIRE(directory.RecordLoadUpdate({"a", 1, 2, "t1", {}}, updated_at));
+  const auto outage = directory.FindStoreOutage(updated_at);
+  REQUIRE(outage.has_value());
+  CHECK(outage->until_ == start);
+  CHECK_FALSE(directory
+                  .FindStoreOutage(start + InstanceDirectory::kSilenceTimeout +
+                                   milliseconds(1))
+                  .has_value());
+}
+
 // Guards against a process whose predecessor may have held the order lease for
 // some time since its last report, or acted as the holder before.
 TEST_CASE("An outage does not span a long gap between two processes",
