Ignore a late success of acquiring an order lease that has ended

An instance learns from the store that its lease entry exists although the response to its transaction is late, becomes the holder, and learns that the entry is gone. The late response then made it the holder once more, for up to 1.1 s, and the lease counted as taken, so that the instance never competed for it again until the entry changed.

The response counts only if the entry has not changed since its revision. The new test failed before: the lease was held, and no further attempt followed.

--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -82,6 +82,7 @@
   }
   const bool own = !item.removed_ && item.value_ == settings_.owner_id_;
   lease_is_free_ = item.removed_;
+  lease_entry_revision_ = item.revision_;
   if (own && !lease_.is_held() && !stopping_ && lease_id_ != 0) {
     // The response to the transaction was lost, but it was applied.
     OnAcquired(item.revision_, now);
@@ -172,6 +173,9 @@
     -> void {
   is_acquiring_ = false;
   if (const auto* revision = std::get_if<std::int64_t>(&result)) {
+    if (*revision < lease_entry_revision_) {
+      return;  // the entry has changed since
+    }
     lease_is_free_ = false;
     if (!lease_.is_held()) {
       OnAcquired(*revision, now);
--- a/modules/baobab_gateway/holder_election.h
+++ b/modules/baobab_gateway/holder_election.h
@@ -244,7 +244,8 @@
   std::string last_holder_key_;
   LastHolder last_holder_;
   std::int64_t last_revision_ = 0;
-  LastHolder former_;  // the holder before this instance
+  std::int64_t lease_entry_revision_ = 0;  // as last read
+  LastHolder former_;                      // the holder before this instance
   std::int64_t former_revision_ = 0;
   HolderLease lease_;
   Random random_;
--- a/modules/baobab_gateway/holder_election_test.cc
+++ b/modules/baobab_gateway/holder_election_test.cc
@@ -28,21 +28,41 @@
     election_.Start();
   }
 
-  /// Runs until this instance has acquired the lease.
-  auto Acquire() -> void {
-    while (!election_.is_held()) {
+  /// Runs until this instance commits the acquisition of the lease, and returns
+  /// the transaction.
+  auto RequestLease() -> StoreTransaction {
+    for (int i = 0; i < 100; ++i) {
       now_ += milliseconds(50);
       for (const auto& call : election_.Next(now_)) {
         if (call.kind_ == HolderStoreCall::Kind::kGrantLease) {
           election_.OnLeaseGranted(++lease_id_, now_, now_);
         } else if (call.kind_ == HolderStoreCall::Kind::kAcquire) {
-          election_.OnAcquireResult(++revision_, now_);
-          Apply(call.change_);
+          return call.change_;
         }
       }
     }
+    FAIL("no attempt to acquire the lease");
+    return {};
+  }
+
+  /// Runs until this instance has acquired the lease.
+  auto Acquire() -> void {
+    const auto change = RequestLease();
+    election_.OnAcquireResult(++revision_, now_);
+    Apply(change);
+  }
+
+  /// Delivers the entries that `change` wrote, as a read of the store does.
+  auto Apply(const StoreTransaction& change) -> void {
+    for (const auto& write : change.writes_) {
+      election_.OnStoreEntry(
+          {write.key_, write.value_, revision_, write.lease_, false}, now_);
+    }
   }
 
+  /// Advances the revision of the store and returns it.
+  auto NextRevision() -> std::int64_t { return ++revision_; }
+
   /// Lets the lease end at the store.
   auto EndLease() -> void {
     election_.OnRenewResult(lease_id_, now_, StoreFailure::kNoLease);
@@ -61,13 +81,6 @@
   HolderElection election_;
 
  private:
-  auto Apply(const StoreTransaction& change) -> void {
-    for (const auto& write : change.writes_) {
-      election_.OnStoreEntry(
-          {write.key_, write.value_, revision_, write.lease_, false}, now_);
-    }
-  }
-
   std::int64_t revision_ = kLastRevision;
   std::int64_t lease_id_ = 0;
 };
@@ -160,6 +173,22 @@
   CHECK(fixture.election_.MaySendOrders(fixture.now_));
 }
 
+// Guards against a lease that a late response brings back after the store has
+// already removed its entry.
+TEST_CASE("A late response does not bring back a lease that has ended",
+          "[gateway]") {
+  ElectionFixture fixture;
+  const auto change = fixture.RequestLease();
+  const auto revision = fixture.NextRevision();
+  fixture.Apply(change);
+  REQUIRE(fixture.election_.is_held());
+  fixture.EndLease();
+  fixture.election_.OnAcquireResult(revision, fixture.now_);
+  CHECK_FALSE(fixture.election_.is_held());
+  fixture.Acquire();
+  CHECK(fixture.election_.is_held());
+}
+
 // Guards against a holder that is taken for a waiting one after it has sent
 // orders, so that each successor waits longer than necessary.
 TEST_CASE("A holder records that its wait is over", "[gateway]") {
