Adopt an order lease entry only with the lease that is renewed

If the response to an attempt to acquire the order lease is lost, the instance grants itself another lease and tries again. When it then read the entry of its first attempt, it became the holder and renewed the second lease, which always succeeds. The entry vanished with the first lease within 1.5 s, and another instance could acquire it while this one saw its renewals succeed.

The entry is adopted only if it is attached to the current lease. The new test failed before in one of two rows; the other one shows that a lost response is still made up for.

--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -83,8 +83,10 @@
   const bool own = !item.removed_ && item.value_ == settings_.owner_id_;
   lease_is_free_ = item.removed_;
   lease_entry_revision_ = item.revision_;
-  if (own && !lease_.is_held() && !stopping_ && lease_id_ != 0) {
-    // The response to the transaction was lost, but it was applied.
+  if (own && !lease_.is_held() && !stopping_ && lease_id_ != 0 &&
+      item.lease_ == lease_id_) {
+    // The response to the transaction was lost, but it was applied. An entry of
+    // an earlier attempt ends with the lease of that attempt.
     OnAcquired(item.revision_, now);
   } else if (!own && lease_.is_held() &&
              item.revision_ > lease_.fencing_token()) {
--- a/modules/baobab_gateway/holder_election_test.cc
+++ b/modules/baobab_gateway/holder_election_test.cc
@@ -189,6 +189,24 @@
   CHECK(fixture.election_.is_held());
 }
 
+// Guards against a holder that renews another lease than the one that its entry
+// is attached to: the response to its first attempt was lost, and the entry
+// vanished with the first lease while the second one was renewed.
+TEST_CASE("An entry that is attached to an earlier lease gives no right",
+          "[gateway]") {
+  const bool second_is_applied = GENERATE(false, true);
+  ElectionFixture fixture;
+  auto change = fixture.RequestLease();
+  fixture.election_.OnAcquireResult(StoreFailure::kUnknown, fixture.now_);
+  const auto second = fixture.RequestLease();
+  fixture.election_.OnAcquireResult(
+      second_is_applied ? StoreFailure::kUnknown : StoreFailure::kConflict,
+      fixture.now_);
+  fixture.NextRevision();
+  fixture.Apply(second_is_applied ? second : change);
+  CHECK(fixture.election_.is_held() == second_is_applied);
+}
+
 // Guards against a holder that is taken for a waiting one after it has sent
 // orders, so that each successor waits longer than necessary.
 TEST_CASE("A holder records that its wait is over", "[gateway]") {
