Release an order lease that is acquired during a planned stop

A success of the last attempt that arrived after the stop request made the stopping instance the holder: it sent orders until its end and did not release the lease, so that its successor waited for the end of the lease and then 4.1 s.

The instance releases such a lease at once. The new test failed before (held, and no release).

--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -182,6 +182,9 @@
     if (!lease_.is_held()) {
       OnAcquired(*revision, now);
     }
+    if (stopping_) {
+      Release("stopping");
+    }
   } else if (std::get<StoreFailure>(result) == StoreFailure::kConflict) {
     AddEvent(HolderEvent::Kind::kNotAcquired, "taken_or_changed");
   }
--- a/modules/baobab_gateway/holder_election_test.cc
+++ b/modules/baobab_gateway/holder_election_test.cc
@@ -207,6 +207,25 @@
   CHECK(fixture.election_.is_held() == second_is_applied);
 }
 
+// Guards against a stopping instance that becomes the holder because its last
+// attempt succeeds late: it sent orders until its end, and its successor had to
+// wait for the end of the lease.
+TEST_CASE("A stopping instance releases a lease that it acquires late",
+          "[gateway]") {
+  ElectionFixture fixture;
+  const auto change = fixture.RequestLease();
+  fixture.election_.Stop();
+  const auto revision = fixture.NextRevision();
+  fixture.election_.OnAcquireResult(revision, fixture.now_);
+  CHECK_FALSE(fixture.election_.is_held());
+  const auto calls = fixture.election_.Next(fixture.now_);
+  REQUIRE(calls.size() == 1);
+  CHECK(calls[0].kind_ == HolderStoreCall::Kind::kRelease);
+  CHECK(calls[0].change_.preconditions_[0].revision_ == revision);
+  fixture.Apply(change);
+  CHECK_FALSE(fixture.election_.is_held());
+}
+
 // Guards against a holder that is taken for a waiting one after it has sent
 // orders, so that each successor waits longer than necessary.
 TEST_CASE("A holder records that its wait is over", "[gateway]") {
