Test reports that waited during a pause of the order lease holder

A holder that was paused or suspended in an outage reads reports that say that the store is unreachable after another instance has acquired the lease.

--- a/modules/baobab_gateway/order_lease_fleet_test.cc
+++ b/modules/baobab_gateway/order_lease_fleet_test.cc
@@ -144,6 +144,26 @@
   CHECK(fleet.TakeOrderCount() > 0);
 }
 
+// Guards against a holder that was paused and takes the reports that waited for
+// it for present ones: they say that the store is unreachable, although another
+// instance has acquired the lease since.
+TEST_CASE("Reports that waited during a pause do not extend the lease",
+          "[gateway]") {
+  const auto fault = GENERATE(Fault::kPause, Fault::kFreeze);
+  const auto seed = GENERATE(std::uint64_t{1}, std::uint64_t{2});
+  INFO("seed " << seed);
+  Fleet fleet({.seed_ = seed});
+  fleet.RunUntilFirstOrder();
+  fleet.Schedule({{milliseconds(100), Fault::kStoreDown, seconds(10), 0},
+                  {seconds(8), fault, milliseconds(8600), 0}});
+  fleet.Run(seconds(20));
+  INFO(fleet.first_violation());
+  CHECK(fleet.violation_count() == 0);
+  (void)fleet.TakeOrderCount();
+  fleet.Run(seconds(4));
+  CHECK(fleet.TakeOrderCount() > 0);
+}
+
 /// Draws faults within 20 s that overlap and repeat.
 auto DrawEvents(std::size_t instances, std::uint64_t seed)
     -> std::vector<Fleet::Event> {
