Remember a process that registered as leaving after its entry is gone

What callers could see: requests to a target that leaves (DRAIN).

Cause: a late write of a leaving process that says ready is recognized by the known entry. If that had been removed, had expired or could not be decoded meanwhile, for example because another writer had replaced it, the late write made the process usable again.

Change: the start of a process that registers as leaving is kept with the announced departures, which outlive the entry. The registry now gets the state as the target wrote it; a mark from a digest alone no longer counts as stated by the target itself.

The new test failed before in 3 of 6 rows; gateway_test and wire_test pass.

--- a/modules/baobab_gateway/announced_departures.cc
+++ b/modules/baobab_gateway/announced_departures.cc
@@ -27,6 +27,19 @@
   }
 }
 
+auto AnnouncedDepartures::RecordRegistration(
+    const TargetRegistration& registration) -> void {
+  if (registration.start_time_ms_ == 0) {
+    return;
+  }
+  auto& latest = by_target_[registration.id_];
+  latest = std::max(
+      latest, WallTime(std::chrono::milliseconds(registration.start_time_ms_)));
+  if (by_target_.size() > kMaxTargets) {
+    DropOldest(by_target_);
+  }
+}
+
 auto AnnouncedDepartures::IsLeaving(
     const TargetRegistration& registration) const -> bool {
   const WallTime started_at{
--- a/modules/baobab_gateway/announced_departures.h
+++ b/modules/baobab_gateway/announced_departures.h
@@ -17,8 +17,8 @@
   WallTime stated_at_{};     ///< When the response arrived.
 };
 
-/// The target processes that have announced in a response that they are
-/// leaving.
+/// The target processes that have announced, in a response or in their
+/// registration, that they are leaving.
 ///
 /// Such a process never becomes usable again, whatever the store or a peer says
 /// later. Evidence of another process is a registration that states a start
@@ -34,6 +34,10 @@
   /// Records a statement of a process that is not known to be leaving.
   auto Record(const LeavingStatement& statement) -> void;
 
+  /// Records that the process that wrote `registration` has registered as
+  /// leaving. Has no effect if the registration does not state its start.
+  auto RecordRegistration(const TargetRegistration& registration) -> void;
+
   /// Returns true if the process that wrote `registration` has announced that
   /// it is leaving.
   [[nodiscard]] auto IsLeaving(const TargetRegistration& registration) const
@@ -49,6 +53,7 @@
   [[nodiscard]] auto size() const -> std::size_t { return by_target_.size(); }
 
  private:
+  /// A process of the target that started up to this time is leaving.
   std::map<std::string, WallTime> by_target_;
   /// By address, because a response may come from a process that is registered
   /// under another id than the request expected.
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -441,10 +441,10 @@
       const bool begins_to_leave =
           registration.draining_ &&
           (known == nullptr || !known->registered_as_leaving_);
-      registration.draining_ = registry_.IsKnownToLeave(registration, revision);
+      const bool is_leaving = registry_.IsKnownToLeave(registration, revision);
       const bool usability_changed =
           known == nullptr || begins_to_leave ||
-          known->registration_.draining_ != registration.draining_;
+          known->registration_.draining_ != is_leaving;
       if (usability_changed ||
           known->registration_.start_time_ms_ != registration.start_time_ms_) {
         // Changes of the loaded models and adapters do not affect the routing
@@ -459,11 +459,10 @@
         LogEvent(LogLevel::kInfo, "target_registered")
             .With("target", id)
             .With("service", registration.service_)
-            .With("leaving", registration.draining_ ? "yes" : "no")
+            .With("leaving", is_leaving ? "yes" : "no")
             .With("revision", revision);
       }
-      if (known != nullptr && known->registration_.draining_ &&
-          !registration.draining_) {
+      if (known != nullptr && known->registration_.draining_ && !is_leaving) {
         LogEvent(LogLevel::kInfo, "target_usable_again")
             .With("target", id)
             .With("revision", revision)
--- a/modules/baobab_gateway/target_registry.cc
+++ b/modules/baobab_gateway/target_registry.cc
@@ -22,6 +22,9 @@
   if (revision < entry.revision_) {
     return;
   }
+  if (registration.draining_) {
+    departures_.RecordRegistration(registration);
+  }
   const bool registered_as_leaving =
       registration.draining_ ||
       (entry.registered_as_leaving_ &&
@@ -69,10 +72,15 @@
 auto TargetRegistry::RecordStatement(const LeavingStatement& statement)
     -> bool {
   const auto* known = Find(statement.target_);
+  const bool is_recorded = departures_.Contains(statement);
   if (known != nullptr && departures_.IsLeaving(known->registration_)) {
+    if (!is_recorded) {
+      // It registered as leaving; its address was not recorded with that.
+      departures_.Record(statement);
+    }
     return false;
   }
-  const bool is_new = known != nullptr || !departures_.Contains(statement);
+  const bool is_new = known != nullptr || !is_recorded;
   departures_.Record(statement);
   for (auto& [id, entry] : entries_) {
     if (departures_.IsLeaving(entry.registration_)) {
--- a/modules/baobab_gateway/target_registry.h
+++ b/modules/baobab_gateway/target_registry.h
@@ -43,8 +43,8 @@
   static constexpr Duration kExpiryGracePeriod =
       std::chrono::milliseconds(2300);
 
-  /// Stores `registration` as written at `revision`, and ends its grace period
-  /// if one runs. A revision older than the known one is ignored.
+  /// Stores `registration` as the target wrote it at `revision`, and ends its
+  /// grace period if one runs. A revision older than the known one is ignored.
   auto Put(TargetRegistration registration, std::int64_t revision) -> void;
 
   /// Removes the entry of `id`, whose registration was removed at `revision`.
--- a/modules/baobab_gateway/target_registry_test.cc
+++ b/modules/baobab_gateway/target_registry_test.cc
@@ -148,6 +148,38 @@
   CHECK(registry.Find("t")->registration_.draining_ == test.leaving_);
 }
 
+// Guards against a leaving process that is used again because its entry
+// vanished before a late write states that it is ready.
+TEST_CASE("A leaving process stays unusable after its entry has vanished",
+          "[gateway]") {
+  enum class Loss { kRemoved, kUnreadable, kExpired };
+  const auto loss = GENERATE(Loss::kRemoved, Loss::kUnreadable, Loss::kExpired);
+  const bool same_process = GENERATE(true, false);
+  const TimePoint now{std::chrono::seconds(100)};
+  const auto make = [](std::int64_t start, bool draining) {
+    auto registration = Registration("t", draining);
+    registration.start_time_ms_ = start;
+    return registration;
+  };
+  TargetRegistry registry;
+  registry.Put(make(1000, true), 10);
+  switch (loss) {
+    case Loss::kRemoved:
+      registry.Remove("t", 11);
+      break;
+    case Loss::kUnreadable:
+      registry.Discard("t");
+      break;
+    case Loss::kExpired:
+      registry.MarkPossiblyExpired("t", 11, now);
+      registry.Expire(now);
+      break;
+  }
+  REQUIRE(registry.Find("t") == nullptr);
+  registry.Put(make(same_process ? 1000 : 2000, false), 12);
+  CHECK(registry.Find("t")->registration_.draining_ == same_process);
+}
+
 // Guards against a digest that has no effect because the registration of the
 // target is read after it, and against a mark that outlives its revision.
 TEST_CASE("A mark of a peer holds for registrations that are read later",
