Keep the pause of a target whose registration is gone for a moment

What targets could see: requests in the time for which they had asked for none (BUDGET).

Cause: the pause is part of the state of a known target. When a registration vanished, because it expired or could not be decoded for a moment, this state was dropped, and the same process was new when it registered again.

Change: a target with a running pause is kept, unusable, until the pause ends; a process with another start begins without one, as before.

The new row failed before; the other new row (restart while gone) held.

--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -75,8 +75,12 @@
       target.prefix_cache_.set_capacity(engine->cache_tokens_);
     }
   }
-  std::erase_if(targets_, [this](const auto& item) {
-    return !item.second.registered_ && own_.count(item.first) == 0;
+  std::erase_if(targets_, [this, now](const auto& item) {
+    const auto& target = item.second;
+    // The pause that a process asked for lasts although its registration is
+    // gone for a moment.
+    return !target.registered_ && target.full_until_ <= now &&
+           own_.count(item.first) == 0;
   });
   RebuildIndex();
   peers_.Expire(now);
--- a/modules/baobab_gateway/retry_after_fleet_test.cc
+++ b/modules/baobab_gateway/retry_after_fleet_test.cc
@@ -191,17 +191,28 @@
   }
 }
 
-// Guards against a pause that outlives the process that asked for it, or a
-// suspension of the instance that has lasted as long.
+// Guards against a pause that outlives the process that asked for it or a
+// suspension of the instance that has lasted as long, and against one that ends
+// because the registration of the process was gone for a moment.
 TEST_CASE("A pause ends with its time, a restart or a suspension",
           "[gateway]") {
-  enum class Event { kNone, kTimePasses, kRestart, kSuspension, kShorterPause };
+  enum class Event {
+    kNone,
+    kTimePasses,
+    kRestart,
+    kSuspension,
+    kShorterPause,
+    kRegistersAgain,
+    kRestartWhileGone
+  };
   const auto [event, sent] = GENERATE(table<Event, bool>({
       {Event::kNone, false},
       {Event::kTimePasses, true},
       {Event::kRestart, true},
       {Event::kSuspension, true},
       {Event::kShorterPause, false},
+      {Event::kRegistersAgain, false},
+      {Event::kRestartWhileGone, true},
   }));
   Dispatcher dispatcher(DispatchSettings(), "z");
   dispatcher.SetManifest(test::MakeTestManifest({"m"}));
@@ -228,6 +239,15 @@
       dispatcher.OnRetryAfter("t0", Duration::zero(), now);
       now += seconds(1);
       break;
+    case Event::kRegistersAgain:
+      dispatcher.SetTargets({}, now);
+      dispatcher.SetTargets(registry, now);
+      break;
+    case Event::kRestartWhileGone:
+      dispatcher.SetTargets({}, now);
+      registry.Put(restarted, 9);
+      dispatcher.SetTargets(registry, now);
+      break;
   }
   CHECK_FALSE(dispatcher.Submit(MakeItem(1, now, seconds(10)), now));
   CHECK(dispatcher.Assign(now).size() == (sent ? 1U : 0U));
