Go on reading the store after an exception in a handler

Each entry and each notification is guarded by itself, with a log line (store_entry_failed). The new test failed before: the exception left the reply, and no later entry was applied.

--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <concepts>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -271,7 +272,7 @@
       list_revision_ = page.revision_;
     }
     for (const auto& entry : page.entries_) {
-      ApplyEntry(entry, /*listing=*/true);
+      Guard(entry.key_, [&] { ApplyEntry(entry, /*listing=*/true); });
     }
     if (page.has_more_ && !page.entries_.empty()) {
       RequestPage(page.entries_.back().key_);
@@ -292,7 +293,7 @@
       removed.revision_ = list_revision_;
       removed.removed_ = true;
       key = own_keys_.erase(key);
-      handlers_.on_own_entry_(removed);
+      Guard(removed.key_, [&] { handlers_.on_own_entry_(removed); });
     }
     revision_ = list_revision_;
     registry_.OnReadUpTo(revision_);
@@ -330,7 +331,7 @@
         grace_period_end_ = Now() + TargetRegistry::kExpiryGracePeriod;
       }
       for (const auto& entry : listing.entries_) {
-        ApplyEntry(entry, /*listing=*/false);
+        Guard(entry.key_, [&] { ApplyEntry(entry, /*listing=*/false); });
       }
       revision_ = std::max(revision_, listing.revision_);
       registry_.OnReadUpTo(revision_);
@@ -361,6 +362,19 @@
     });
   }
 
+  /// Runs `action`, which handles the entry or entries at `key`. An exception
+  /// must not end the reading of the store.
+  template <class Action>
+  static auto Guard(const std::string& key, Action action) -> void {
+    try {
+      action();
+    } catch (const std::exception& error) {
+      LogEvent(LogLevel::kError, "store_entry_failed")
+          .With("key", key)
+          .With("reason", error.what());
+    }
+  }
+
   auto ApplyEntry(const StoreEntry& entry, bool listing) -> void {
     const auto prefix = Codec::TargetKeyPrefix();
     if (entry.key_ == Codec::ManifestKey()) {
@@ -488,11 +502,12 @@
 
   auto NotifyHandlers() -> void {
     if (std::exchange(manifest_changed_, false)) {
-      handlers_.on_manifest_(manifest_);
+      Guard(Codec::ManifestKey(), [&] { handlers_.on_manifest_(manifest_); });
       targets_changed_ = true;
     }
     if (targets_known_ && std::exchange(targets_changed_, false)) {
-      handlers_.on_targets_(registry_);
+      Guard(Codec::TargetKeyPrefix(),
+            [&] { handlers_.on_targets_(registry_); });
     }
   }
 
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,8 +57,18 @@
   Fixture()
       : sync_(io_, store_, "own/",
               {[this](const auto& manifest) { version_ = manifest->version_; },
-               [this](const auto&) { ++target_updates_; },
-               [this](const auto& item) { own_.push_back(item); }}) {
+               [this](const auto&) {
+                 ++target_updates_;
+                 if (targets_handler_fails_) {
+                   throw std::length_error("targets");
+                 }
+               },
+               [this](const auto& item) {
+                 if (item.value_ == "fail") {
+                   throw std::length_error(item.key_);
+                 }
+                 own_.push_back(item);
+               }}) {
     sync_.Start();
   }
 
@@ -74,6 +85,7 @@
   ScriptedStore store_;
   std::int64_t version_ = 0;
   int target_updates_ = 0;
+  bool targets_handler_fails_ = false;
   std::vector<StoreEntry> own_;
   StateSync<ScriptedStore, TextCodec> sync_;
 };
@@ -103,6 +115,34 @@
   CHECK_FALSE(fixture.sync_.registry().Find("a")->registration_.draining_);
 }
 
+// Guards against an instance that stops following the store because one entry,
+// or what its targets make of all of them, cannot be handled.
+TEST_CASE("Reading the store goes on after an exception in a handler",
+          "[gateway]") {
+  const bool in_listing = GENERATE(true, false);
+  Fixture fixture;
+  fixture.targets_handler_fails_ = true;
+  const StoreEntry failing{"own/a", "fail", 12, 0, false};
+  const StoreEntry next{"own/b", "1", 13, 0, false};
+  const StoreEntry target{"targets/a", "ready", 14, 0, false};
+  if (in_listing) {
+    CHECK_NOTHROW(fixture.List(
+        {{"config", "5", 10, 0, false}, failing, next, target}, 20));
+  } else {
+    fixture.targets_handler_fails_ = false;
+    fixture.List({{"config", "5", 10, 0, false}}, 11);
+    fixture.targets_handler_fails_ = true;
+    CHECK_NOTHROW(fixture.Change({failing, next, target}, 20));
+  }
+  CHECK(fixture.version_ == 5);
+  CHECK(fixture.own_.size() == 1);
+  CHECK(fixture.sync_.registry().Find("a") != nullptr);
+  while (!fixture.store_.watch_) {
+    fixture.io_.run_one();
+  }
+  CHECK(fixture.store_.watched_after_ == 20);
+}
+
 // Guards against requests that are sent to a removed target because the store
 // no longer keeps the change that removed it.
 TEST_CASE("If the store has dropped the history, all entries are listed again",
