Stop taking requests in time before the end of a short grace period

What operators of a similar system reported: in a planned stop, requests that came late in the grace period were taken and passed on, and cut at its end.

It can happen here if the grace period is short: requests were taken for 2.5 s whatever it was, and the process exits 0.7 s before its end. With 2 s, it took requests until its exit after 1.3 s. The deployments known so far allow 8 s.

The last six tenths of the time until the exit now belong to the requests that were taken last; with 8 s nothing changes (2.5 s, exit after 7.3 s).

'The times of a planned stop follow from the grace period' is new with the function that it tests.

--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -76,12 +76,7 @@
   static constexpr Duration kStoreResponseTime = std::chrono::milliseconds(700);
   /// Maximum time for which callers may cache a directory response.
   static constexpr Duration kMaxDirectoryAge = std::chrono::seconds(2);
-  /// Minimum time from the stop signal to the end of the process, because
-  /// callers with a cached directory response still connect.
-  static constexpr Duration kMinStopTime = std::chrono::milliseconds(2500);
-  /// The process ends this long before the end of the grace period, after which
-  /// it would be killed.
-  static constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+  /// Interval of the checks on the way to a planned stop (see StopSequence).
   static constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
   /// Time after its start at which an instance requests the state from a peer
   /// if it has not received the complete state from the store. Also the
@@ -137,8 +132,8 @@
         registration_timer_(io),
         start_timer_(io),
         stop_timer_(io),
-        stop_sequence_(kMinStopTime,
-                       settings_.stop_grace_period_ - kStopReserve),
+        stop_sequence_(
+            StopSequence::ForGracePeriod(settings_.stop_grace_period_)),
         signals_(io, SIGTERM, SIGINT, SIGHUP) {}
 
   /// Starts the listeners, the reports to peers and the reads of the store.
--- a/modules/baobab_gateway/stop_sequence.h
+++ b/modules/baobab_gateway/stop_sequence.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
@@ -11,24 +13,51 @@
 /// Decides what a process does on its way to a planned stop.
 ///
 /// For some time it serves callers that still know its address, then it accepts
-/// no more connections. It exits at the earliest one check after that: requests
-/// that had arrived by then are read and answered first.
+/// no more requests. It exits at the
+/// earliest one check after it stopped accepting: requests that had arrived by
+/// then are read and answered first.
 class StopSequence {
  public:
-  enum class Action : std::uint8_t { kWait, kStopAccepting, kExit };
+  enum class Action : std::uint8_t {
+    kWait,
+    kStopAccepting,  ///< Refuse new requests and those not sent to a target.
+    kExit
+  };
 
-  /// Accepts connections for `accept_time` after the request to stop and exits
-  /// after `max_time` even if requests are in progress.
-  StopSequence(Duration accept_time, Duration max_time)
-      : accept_time_(accept_time), max_time_(max_time) {}
+  /// Times after the request to stop.
+  struct Schedule {
+    Duration stop_accepting_at_{};
+    Duration exit_at_{};  ///< Even if requests are in progress.
+
+    auto operator==(const Schedule&) const -> bool = default;
+  };
+
+  /// Time for which callers with a cached directory response still connect.
+  static constexpr Duration kAcceptTime = std::chrono::milliseconds(2500);
+  /// Minimum part of the time until the exit, in tenths, that is left for the
+  /// requests accepted last. It matters if the grace period is short.
+  static constexpr int kMinServingTenths = 6;
+  /// The process ends this long, and at most a quarter of the grace period,
+  /// before the end of the grace period, when it would be killed.
+  static constexpr Duration kReserve = std::chrono::milliseconds(700);
+
+  /// Returns the schedule for a process that is killed `grace_period` after the
+  /// request to stop.
+  [[nodiscard]] static auto ForGracePeriod(Duration grace_period) -> Schedule {
+    const auto exit_at = grace_period - std::min(kReserve, grace_period / 4);
+    return {std::min(kAcceptTime, exit_at * (10 - kMinServingTenths) / 10),
+            exit_at};
+  }
+
+  explicit StopSequence(Schedule schedule) : schedule_(schedule) {}
 
   /// Returns the action at a check, `elapsed` after the request to stop, with
   /// `active` requests in progress.
   [[nodiscard]] auto Next(Duration elapsed, std::size_t active) -> Action {
-    if (elapsed >= max_time_) {
+    if (elapsed >= schedule_.exit_at_) {
       return Action::kExit;
     }
-    if (elapsed < accept_time_) {
+    if (elapsed < schedule_.stop_accepting_at_) {
       return Action::kWait;
     }
     if (!std::exchange(stopped_accepting_, true)) {
@@ -38,8 +67,7 @@
   }
 
  private:
-  Duration accept_time_;
-  Duration max_time_;
+  Schedule schedule_;
   bool stopped_accepting_ = false;
 };
 
--- a/modules/baobab_gateway/stop_sequence_test.cc
+++ b/modules/baobab_gateway/stop_sequence_test.cc
@@ -32,7 +32,7 @@
         Action::kExit}},
   }));
   INFO(test.what_);
-  StopSequence sequence(milliseconds(2500), milliseconds(2800));
+  StopSequence sequence({milliseconds(2500), milliseconds(2800)});
   Duration elapsed = milliseconds(2400);
   std::vector<Action> actions;
   for (const auto active : test.active_) {
@@ -42,5 +42,23 @@
   CHECK(actions == test.actions_);
 }
 
+// Guards against a process that takes requests until shortly before the end of
+// a short grace period, and against one without time for its last answers.
+TEST_CASE("The times of a planned stop follow from the grace period",
+          "[gateway]") {
+  struct Case {
+    Duration grace_period_;
+    StopSequence::Schedule expected_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {seconds(8), {milliseconds(2500), milliseconds(7300)}},
+      {seconds(30), {milliseconds(2500), milliseconds(29'300)}},
+      {seconds(2), {milliseconds(600), milliseconds(1500)}},
+      {milliseconds(400), {milliseconds(120), milliseconds(300)}},
+      {seconds(0), {}},
+  }));
+  CHECK(StopSequence::ForGracePeriod(test.grace_period_) == test.expected_);
+}
+
 }  // namespace
 }  // namespace baobab::gateway
