Answer the requests in progress before a stopping process exits

The exit was a plain end of the event loop.

0.3 s before the exit, the process ends all that is in progress: with 503 if it was not sent, with 502 if it may have run, and streams as incomplete. The log says stop_answers_rest with their number.

--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -207,6 +207,11 @@
     case StopSequence::Action::kStopAccepting:
       gateway_.StopAccepting();
       break;
+    case StopSequence::Action::kAnswerRest:
+      LogEvent(LogLevel::kWarning, "stop_answers_rest")
+          .With("active", gateway_.active());
+      gateway_.AnswerRest();
+      break;
     case StopSequence::Action::kExit:
       LogEvent(LogLevel::kInfo, "instance_stopped")
           .With("active", gateway_.active());
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -168,6 +168,11 @@
   /// not sent to a target yet, because this instance may exit before they end.
   auto StopAccepting() -> void;
 
+  /// Ends all requests in progress, because the process is about to exit: a
+  /// request that may have run gets an answer that says so, and a stream that
+  /// has begun ends as incomplete. Call after StopAccepting().
+  auto AnswerRest() -> void;
+
   /// Returns the number of requests whose complete response has not been handed
   /// over to the operating system.
   [[nodiscard]] auto active() const -> std::size_t {
--- a/modules/baobab_gateway/request_gateway_admission.h
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -27,6 +27,26 @@
   }
 }
 
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::AnswerRest() -> void {
+  std::vector<WorkId> rest;
+  rest.reserve(active_.size());
+  for (const auto& [id, active] : active_) {
+    rest.push_back(id);
+  }
+  for (const auto id : rest) {
+    auto& active = active_.at(id);
+    const bool sent = active.attempt_ != nullptr || active.may_have_run_;
+    if (active.attempt_) {
+      active.attempt_->Cancel();
+      active.attempt_.reset();
+    }
+    FinishWithRefusal(
+        id, sent ? RefusalReason::kTargetFailed : RefusalReason::kNotRun,
+        "stopping", kStoppingRetryAfter);
+  }
+}
+
 template <RequestTranslator Codec>
 auto RequestGateway<Codec>::OnRequest(ExchangeId exchange, HttpRequest request)
     -> void {
--- a/modules/baobab_gateway/stop_sequence.h
+++ b/modules/baobab_gateway/stop_sequence.h
@@ -13,7 +13,8 @@
 /// Decides what a process does on its way to a planned stop.
 ///
 /// For some time it serves callers that still know its address, then it accepts
-/// no more requests. It exits at the
+/// no more requests. Requests that are in progress near the end get an answer
+/// from the process itself, so that none ends without one. It exits at the
 /// earliest one check after it stopped accepting: requests that had arrived by
 /// then are read and answered first.
 class StopSequence {
@@ -21,12 +22,14 @@
   enum class Action : std::uint8_t {
     kWait,
     kStopAccepting,  ///< Refuse new requests and those not sent to a target.
+    kAnswerRest,     ///< Answer the requests that are in progress.
     kExit
   };
 
   /// Times after the request to stop.
   struct Schedule {
     Duration stop_accepting_at_{};
+    Duration answer_rest_at_{};
     Duration exit_at_{};  ///< Even if requests are in progress.
 
     auto operator==(const Schedule&) const -> bool = default;
@@ -37,6 +40,8 @@
   /// Minimum part of the time until the exit, in tenths, that is left for the
   /// requests accepted last. It matters if the grace period is short.
   static constexpr int kMinServingTenths = 6;
+  /// Time in which the answers of kAnswerRest reach the callers.
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(300);
   /// The process ends this long, and at most a quarter of the grace period,
   /// before the end of the grace period, when it would be killed.
   static constexpr Duration kReserve = std::chrono::milliseconds(700);
@@ -45,8 +50,9 @@
   /// request to stop.
   [[nodiscard]] static auto ForGracePeriod(Duration grace_period) -> Schedule {
     const auto exit_at = grace_period - std::min(kReserve, grace_period / 4);
+    const auto answer_at = exit_at - std::min(kAnswerTime, exit_at / 4);
     return {std::min(kAcceptTime, exit_at * (10 - kMinServingTenths) / 10),
-            exit_at};
+            answer_at, exit_at};
   }
 
   explicit StopSequence(Schedule schedule) : schedule_(schedule) {}
@@ -63,12 +69,20 @@
     if (!std::exchange(stopped_accepting_, true)) {
       return Action::kStopAccepting;
     }
-    return active == 0 ? Action::kExit : Action::kWait;
+    if (active == 0) {
+      return Action::kExit;
+    }
+    if (elapsed >= schedule_.answer_rest_at_ &&
+        !std::exchange(answered_rest_, true)) {
+      return Action::kAnswerRest;
+    }
+    return Action::kWait;
   }
 
  private:
   Schedule schedule_;
   bool stopped_accepting_ = false;
+  bool answered_rest_ = false;
 };
 
 }  // namespace baobab::gateway
--- a/modules/baobab_gateway/stop_sequence_test.cc
+++ b/modules/baobab_gateway/stop_sequence_test.cc
@@ -28,11 +28,16 @@
        {Action::kWait, Action::kStopAccepting, Action::kWait, Action::kExit}},
       {"busy until the end of the grace period",
        {3, 3, 3, 3, 3},
-       {Action::kWait, Action::kStopAccepting, Action::kWait, Action::kWait,
-        Action::kExit}},
+       {Action::kWait, Action::kStopAccepting, Action::kWait,
+        Action::kAnswerRest, Action::kExit}},
+      {"the rest is answered before the end",
+       {3, 3, 3, 3, 0},
+       {Action::kWait, Action::kStopAccepting, Action::kWait,
+        Action::kAnswerRest, Action::kExit}},
   }));
   INFO(test.what_);
-  StopSequence sequence({milliseconds(2500), milliseconds(2800)});
+  StopSequence sequence(
+      {milliseconds(2500), milliseconds(2700), milliseconds(2800)});
   Duration elapsed = milliseconds(2400);
   std::vector<Action> actions;
   for (const auto active : test.active_) {
@@ -51,10 +56,13 @@
     StopSequence::Schedule expected_;
   };
   const auto test = GENERATE(values<Case>({
-      {seconds(8), {milliseconds(2500), milliseconds(7300)}},
-      {seconds(30), {milliseconds(2500), milliseconds(29'300)}},
-      {seconds(2), {milliseconds(600), milliseconds(1500)}},
-      {milliseconds(400), {milliseconds(120), milliseconds(300)}},
+      {seconds(8),
+       {milliseconds(2500), milliseconds(7000), milliseconds(7300)}},
+      {seconds(30),
+       {milliseconds(2500), milliseconds(29'000), milliseconds(29'300)}},
+      {seconds(2), {milliseconds(600), milliseconds(1200), milliseconds(1500)}},
+      {milliseconds(400),
+       {milliseconds(120), milliseconds(225), milliseconds(300)}},
       {seconds(0), {}},
   }));
   CHECK(StopSequence::ForGracePeriod(test.grace_period_) == test.expected_);
