--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -416,7 +416,7 @@
   MetricsRegistry metrics_;
   Random random_;
   std::int64_t incarnation_;
-  TimePoint started_at_ = Now();
+  TimePoint started_at_ = Now();  // of this process
   std::shared_ptr<ConnectionPool> store_pool_;
   typename Platform::Store store_;
   RequestGateway<typename Platform::RequestCodec> gateway_;
--- a/modules/baobab_gateway/holder_election.h
+++ b/modules/baobab_gateway/holder_election.h
@@ -87,10 +87,12 @@
 /// The lease is an entry of the store that names the current holder; a second
 /// entry names the last holder and stays when the lease ends. It also states
 /// whether the last holder still had to wait for the one before it: a third
-/// holder then waits as if it knew neither. Pass in the
-/// entries, the results of store calls and the reports of peers as they arrive.
-/// After each of them, and at the time that NextCompetition() returns, make the
-/// calls that Next() returns. All times are boot times (see BootTime()).
+/// holder then waits as if it knew neither.
+///
+/// Pass in the entries, the results of store calls and the reports of peers as
+/// they arrive. After each of them, and at the time that NextCompetition()
+/// returns, make the calls that Next() returns. All times are boot times (see
+/// BootTime()).
 class HolderElection {
  public:
   /// Maximum random delay before an instance tries to acquire a free lease, so
@@ -117,6 +119,7 @@
   static constexpr Duration kPostOutagePeriod = std::chrono::seconds(3);
 
   /// Interval at which a holder tries again to record that its wait is over.
+  /// Until then, a successor waits longer than necessary.
   static constexpr Duration kRecordInterval = std::chrono::seconds(1);
 
   struct Settings {
@@ -242,10 +245,13 @@
 
   Settings settings_;
   std::string last_holder_key_;
+  // As last read from the store.
   LastHolder last_holder_;
-  std::int64_t last_revision_ = 0;
-  std::int64_t lease_entry_revision_ = 0;  // as last read
-  LastHolder former_;                      // the holder before this instance
+  std::int64_t last_revision_ = 0;  // of the entry of last_holder_
+  std::int64_t lease_entry_revision_ = 0;
+  // The holder before this instance, as of the last attempt to acquire the
+  // lease. Empty once it has reported.
+  LastHolder former_;
   std::int64_t former_revision_ = 0;
   HolderLease lease_;
   Random random_;
