List no instance for callers that ended before a partition

Cause: an instance that hears fewer than half of the registered ones takes itself for partitioned and lists all that are registered, since their silence says nothing then. It did so for instances that had been silent for long before, too, and for registered ones that had never reported to it. Registrations outlive a machine by 10 s, and longer in an outage of the store.

Change: when a partition begins, the time of the last sign of life of the instances that fell silent is kept. One whose own last sign, a datagram or the moment it became known, is older by more than the silence timeout is not listed.

--- a/modules/baobab_gateway/instance_directory.cc
+++ b/modules/baobab_gateway/instance_directory.cc
@@ -129,12 +129,16 @@
   for (auto& [name, instance] : instances_) {
     instance.last_received_at_ -= time;
     instance.reported_at_ -= time;
+    instance.known_since_ -= time;
     instance.healthy_since_ -= time;
     instance.store_silent_since_ -= time;
   }
   for (auto& [name, received] : digests_) {
     received.received_at_ -= time;
   }
+  if (alive_before_partition_since_) {
+    *alive_before_partition_since_ -= time;
+  }
 }
 
 auto InstanceDirectory::Expire(TimePoint now) -> void {
@@ -151,6 +155,16 @@
 
 auto InstanceDirectory::Update(const Self& self, TimePoint now) -> void {
   self_ = self;
+  for (auto& [name, instance] : instances_) {
+    if (instance.known_since_ == TimePoint{}) {
+      instance.known_since_ = now;
+    }
+  }
+  if (!IsPartitioned(now)) {
+    alive_before_partition_since_.reset();
+  } else if (!alive_before_partition_since_) {
+    alive_before_partition_since_ = AliveBeforePartitionSince(now);
+  }
   UpdateCoordinators(now);
   UpdateEntries(now);
 }
@@ -412,6 +426,30 @@
   return addresses;
 }
 
+auto InstanceDirectory::IsPartitioned(TimePoint now) const -> bool {
+  std::size_t registered = 0;
+  std::size_t recently_reporting = 0;
+  for (const auto& [name, instance] : instances_) {
+    registered += instance.registered_ ? 1 : 0;
+    recently_reporting += HasRecentReport(instance, now) ? 1 : 0;
+  }
+  return recently_reporting * 2 < registered;
+}
+
+auto InstanceDirectory::AliveBeforePartitionSince(TimePoint now) const
+    -> TimePoint {
+  if (alive_before_partition_since_) {
+    return *alive_before_partition_since_;
+  }
+  TimePoint last_silenced_at{};
+  for (const auto& [name, instance] : instances_) {
+    if (!HasRecentReport(instance, now)) {
+      last_silenced_at = std::max(last_silenced_at, LastSignAt(instance));
+    }
+  }
+  return last_silenced_at - kSilenceTimeout;
+}
+
 auto InstanceDirectory::MeshAddresses(const std::string& own,
                                       TimePoint now) const
     -> std::vector<std::string> {
@@ -419,21 +457,17 @@
   if (!own.empty()) {
     addresses.push_back(own);
   }
-  std::size_t registered = 0;
-  std::size_t recently_reporting = 0;
-  for (const auto& [name, instance] : instances_) {
-    registered += instance.registered_ ? 1 : 0;
-    recently_reporting += HasRecentReport(instance, now) ? 1 : 0;
-  }
-  const bool is_partitioned = recently_reporting * 2 < registered;
+  const bool is_partitioned = IsPartitioned(now);
+  const auto alive_since = AliveBeforePartitionSince(now);
   for (const auto& [name, instance] : instances_) {
     if (addresses.size() >= kMaxAddresses || instance.stopping_ ||
         instance.caller_address_.empty()) {
       continue;
     }
+    const bool was_alive = LastSignAt(instance) >= alive_since;
     if (HasRecentReport(instance, now)
             ? instance.ready_
-            : is_partitioned && instance.registered_) {
+            : is_partitioned && instance.registered_ && was_alive) {
       addresses.push_back(instance.caller_address_);
     }
   }
--- a/modules/baobab_gateway/instance_directory.h
+++ b/modules/baobab_gateway/instance_directory.h
@@ -107,6 +107,8 @@
     /// See PeerReport.
     Duration store_response_at_{};
     TimePoint listed_at_{};  ///< Time of the last digest that names it.
+    /// Time of the first Update() at which it was known.
+    TimePoint known_since_{};
     /// Fencing token of the last report; 0 unless the instance is the order
     /// lease holder.
     std::int64_t fencing_token_ = 0;
@@ -263,6 +265,12 @@
     return instance.has_reported_ &&
            now - instance.last_received_at_ <= kSilenceTimeout;
   }
+  /// Returns when `instance` last gave a sign of life: its last datagram, or,
+  /// if it has sent none, when it became known.
+  [[nodiscard]] static auto LastSignAt(const Instance& instance) -> TimePoint {
+    return instance.has_reported_ ? instance.last_received_at_
+                                  : instance.known_since_;
+  }
   /// Returns true if `instance` accepts requests and reaches the store.
   [[nodiscard]] static auto IsHealthy(const Instance& instance, TimePoint now)
       -> bool {
@@ -283,6 +291,14 @@
   /// `assume_alive`, registered instances without a report count as available.
   [[nodiscard]] auto SelectFromReports(bool assume_alive, TimePoint now) const
       -> std::set<std::string>;
+  /// Returns true if fewer than half of the registered instances have sent a
+  /// datagram recently: this instance is probably partitioned from the others.
+  [[nodiscard]] auto IsPartitioned(TimePoint now) const -> bool;
+  /// Returns the time such that an instance whose last sign of life is older
+  /// counts as ended although this instance is partitioned now: it was silent
+  /// before.
+  [[nodiscard]] auto AliveBeforePartitionSince(TimePoint now) const
+      -> TimePoint;
   /// Returns the addresses if all instances are entry instances.
   [[nodiscard]] auto MeshAddresses(const std::string& own, TimePoint now) const
       -> std::vector<std::string>;
@@ -297,6 +313,8 @@
   std::string digest_holder_;  // address of the order lease holder
   bool is_coordinator_ = false;
   TimePoint coordinator_since_{};
+  /// AliveBeforePartitionSince() at the beginning of the present partition.
+  std::optional<TimePoint> alive_before_partition_since_;
   TimePoint last_entry_at_{};
 };
 
--- a/modules/baobab_gateway/instance_directory_test.cc
+++ b/modules/baobab_gateway/instance_directory_test.cc
@@ -62,6 +62,78 @@
   CHECK(directory.CallerAddresses("", "", now).size() == test.expected_);
 }
 
+// Guards against an isolated instance that directs callers to one that had
+// ended long before: that all others are silent now says nothing of that one.
+TEST_CASE("An instance that was silent before a partition is not listed",
+          "[gateway]") {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  struct Case {
+    const char* what_;
+    Duration ended_before_;  // the partition
+    bool has_reported_;
+    Duration suspended_;  // after the partition has begun
+    bool listed_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"long before", seconds(8), true, {}, false},
+      {"long before, then a suspension", seconds(8), true, seconds(4), false},
+      {"with the others", seconds(0), true, {}, true},
+      {"with the others, then a suspension", seconds(0), true, seconds(4),
+       true},
+      {"registered long before, without a report",
+       seconds(8),
+       false,
+       {},
+       false},
+      {"registered with the partition, without a report",
+       seconds(0),
+       false,
+       {},
+       true},
+  }));
+  const bool some_still_report = GENERATE(false, true);
+  INFO(test.what_ << (some_still_report ? ", some still report" : ""));
+  InstanceDirectory directory;
+  const auto partition_at = TimePoint{} + seconds(100);
+  auto now = partition_at - seconds(10);
+  std::int64_t sequence = 0;
+  const auto report = [&](int first, int last) {
+    ++sequence;
+    for (int i = first; i <= last; ++i) {
+      (void)directory.RecordReport(Report("i" + std::to_string(i), 1, sequence),
+                                   now);
+    }
+    directory.Update({"self", "", "self:80", 500, true, false}, now);
+  };
+  const auto register_instance = [&directory](int i) {
+    const auto name = "i" + std::to_string(i);
+    directory.Register(name, {"10.0.0.1", name + ":80", "", 0});
+  };
+  for (int i = 1; i <= 5; ++i) {
+    register_instance(i);
+  }
+  for (; now < partition_at; now += milliseconds(500)) {
+    report(1, 5);
+    if (now <= partition_at - test.ended_before_) {
+      if (test.has_reported_) {
+        register_instance(0);
+        (void)directory.RecordReport(Report("i0", 1, sequence), now);
+      } else if (now + milliseconds(500) >= partition_at - test.ended_before_) {
+        register_instance(0);
+      }
+    }
+  }
+  directory.OnSuspended(test.suspended_);
+  for (; now < partition_at + seconds(6); now += milliseconds(500)) {
+    report(1, some_still_report ? 1 : 0);
+  }
+  const auto addresses = directory.CallerAddresses("self:80", "", now);
+  CHECK(addresses.size() == (test.listed_ ? 7U : 6U));
+  CHECK((std::find(addresses.begin(), addresses.end(), "i0:80") !=
+         addresses.end()) == test.listed_);
+}
+
 // Guards against delayed reports of an ended process that replace the state of
 // the process that was started after it.
 TEST_CASE("Reports of an earlier process are ignored", "[gateway]") {
