--- /dev/null
+++ b/review/stand_ins_2/json.cc
@@ -0,0 +1,3 @@
+// Compiles Boost.JSON into the stand-ins.
+
+#include <boost/json/src.hpp>
