--- a/review/stand_ins_2/store.h
+++ b/review/stand_ins_2/store.h
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 #include <condition_variable>
 #include <cstdio>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -163,6 +164,7 @@
     std::string key_;
     Item item_;
     bool removed_ = false;
+    TimePoint at_ = Clock::now();
   };
   struct Lease {
     Milliseconds ttl_{};
@@ -193,6 +195,10 @@
       std::this_thread::sleep_for(Milliseconds(20));
       const std::lock_guard lock(mutex_);
       const auto now = Clock::now();
+      while (!history_.empty() && now - history_.front().at_ > kHistory) {
+        forgotten_ = history_.front().item_.revision_;
+        history_.pop_front();
+      }
       for (auto lease = leases_.begin(); lease != leases_.end();) {
         if (lease->second.ends_at_ > now) {
           ++lease;
@@ -336,6 +342,9 @@
       }
       return !events.empty() || stopping_;
     };
+    if (after < forgotten_) {
+      return Response(410, "{}");
+    }
     changed_.wait_for(lock, wait, collect);
     return Response(200,
                     json::serialize(json::object{{"events", std::move(events)},
@@ -388,11 +397,13 @@
   }
 
   static constexpr std::size_t kPageItems = 500;
+  static constexpr auto kHistory = std::chrono::seconds(20);  // history_s
 
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Item> items_;
-  std::vector<Event> history_;
+  std::deque<Event> history_;
+  std::int64_t forgotten_ = 0;  // revision up to which events are dropped
   std::map<std::int64_t, Lease> leases_;
   std::set<std::string> silent_;
   std::int64_t revision_ = 100;
