--- a/review/stand_ins_2/plain_server.h
+++ b/review/stand_ins_2/plain_server.h
@@ -10,11 +10,12 @@
 class PlainServer {
  public:
   PlainServer(Store& store, std::string id, std::string service,
-              Milliseconds work)
+              Milliseconds work, int slots)
       : store_(store),
         id_(std::move(id)),
         service_(std::move(service)),
-        work_(work) {}
+        work_(work),
+        slots_(slots) {}
   ~PlainServer() { Stop(); }
 
   std::function<void(const std::string& service, const std::string& request)>
@@ -53,7 +54,7 @@
                                      {"addr", server_.address().ToString()},
                                      {"zone", "zone-a"},
                                      {"version", "v1"},
-                                     {"slots", 64},
+                                     {"slots", slots_},
                                      {"state", state},
                                      {"cold_left_ms", 0},
                                      {"seq", 0},
@@ -80,6 +81,7 @@
   std::string id_;
   std::string service_;
   Milliseconds work_;
+  int slots_;
   Server server_;
   std::int64_t born_ = 0;
   std::atomic<bool> draining_ = false;
