Refuse responses with folded lines or invalid field names

What callers saw: a server answered with a head in which the name of a field began with a blank. The caller got it as an answer of the server, with that line passed on as a part of the field before it.

Cause: a line that begins with a blank is an obsolete folded line, which the parser joins to the field before. RFC 9112, section 5.2, lets a gateway replace the fold or refuse the response with 502; the joined value is in no case what a server in trouble meant. Behind it, a `Content-Length` with a blank before its name is lost and the body ends elsewhere.

Change: rules of the table for line ends, folded lines, names (the characters of a token only) and control characters in values, in the terms of RFC 9110, sections 5.1 and 5.5, and RFC 9112, sections 2.2, 5.1 and 5.2.

Each has rows in `targets_test` "The head of a response ..." that check which rule refused them.

--- a/modules/baobab_targets/response_head_rules.cc
+++ b/modules/baobab_targets/response_head_rules.cc
@@ -10,9 +10,13 @@
 
 /// What the rules need to know of a head.
 struct ResponseHeadFacts {
+  bool has_sound_line_ends_ = false;
   bool has_status_line_ = false;
   bool is_version_1_0_ = false;
   unsigned status_ = 0;
+  bool has_folded_line_ = false;
+  bool has_invalid_name_ = false;
+  bool has_invalid_value_ = false;
   int encodings_ = 0;
   bool is_chunked_ = false;  ///< The last Transfer-Encoding is `chunked`.
   int lengths_ = 0;
@@ -21,6 +25,13 @@
 
 namespace {
 
+/// Returns true for the characters of a token (RFC 9110, section 5.6.2).
+auto IsTokenCharacter(char c) -> bool {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
 /// Returns true for control characters other than tab.
 auto IsControlCharacter(char c) -> bool {
   const auto code = static_cast<unsigned char>(c);
@@ -51,11 +62,18 @@
 }
 
 auto ReadFieldLine(std::string_view line, ResponseHeadFacts& facts) -> void {
+  if (line.front() == ' ' || line.front() == '\t') {
+    facts.has_folded_line_ = true;
+    return;
+  }
   const auto name = line.substr(0, line.find(':'));
-  if (name.size() == line.size()) {
+  if (name.empty() || name.size() == line.size() ||
+      !std::all_of(name.begin(), name.end(), IsTokenCharacter)) {
+    facts.has_invalid_name_ = true;
     return;
   }
   const auto value = TrimBlanks(line.substr(name.size() + 1));
+  facts.has_invalid_value_ |= HasControlCharacter(value);
   if (EqualsIgnoringCase(name, "Transfer-Encoding")) {
     ++facts.encodings_;
     facts.is_chunked_ = EqualsIgnoringCase(value, "chunked");
@@ -67,6 +85,10 @@
 
 auto ReadFacts(std::string_view head) -> ResponseHeadFacts {
   ResponseHeadFacts facts;
+  facts.has_sound_line_ends_ = HasSoundLineEnds(head);
+  if (!facts.has_sound_line_ends_) {
+    return facts;
+  }
   constexpr std::string_view kLineEnd = "\r\n";
   auto line_end = head.find(kLineEnd);
   ReadStatusLine(head.substr(0, line_end), facts);
@@ -85,6 +107,9 @@
 using Facts = ResponseHeadFacts;
 
 constexpr std::array kRules = {
+    ResponseHeadRule{
+        "a line does not end with CR LF", "RFC 9112, section 2.2",
+        [](const Facts& facts) { return !facts.has_sound_line_ends_; }},
     ResponseHeadRule{
         "the status line is malformed", "RFC 9112, section 4",
         [](const Facts& facts) { return !facts.has_status_line_; }},
@@ -96,6 +121,16 @@
     ResponseHeadRule{"the status switches to a protocol that was not asked for",
                      "RFC 9110, section 15.2.2",
                      [](const Facts& facts) { return facts.status_ == 101; }},
+    ResponseHeadRule{"a field line is folded or begins with a blank",
+                     "RFC 9112, sections 2.2 and 5.2",
+                     [](const Facts& facts) { return facts.has_folded_line_; }},
+    ResponseHeadRule{
+        "a field has no valid name",
+        "RFC 9110, section 5.1, and RFC 9112, section 5.1",
+        [](const Facts& facts) { return facts.has_invalid_name_; }},
+    ResponseHeadRule{
+        "a field value holds a control character", "RFC 9110, section 5.5",
+        [](const Facts& facts) { return facts.has_invalid_value_; }},
     ResponseHeadRule{"Transfer-Encoding is not one `chunked`",
                      "RFC 9112, section 6.1",
                      [](const Facts& facts) {
--- a/modules/baobab_targets/response_head_rules_test.cc
+++ b/modules/baobab_targets/response_head_rules_test.cc
@@ -23,6 +23,9 @@
 auto Rows() -> std::vector<Row> {
   const std::string status = "the status code is not in 100 to 599";
   const std::string status_line = "the status line is malformed";
+  const std::string folded = "a field line is folded or begins with a blank";
+  const std::string name = "a field has no valid name";
+  const std::string line = "a line does not end with CR LF";
   const std::string encoding = "Transfer-Encoding is not one `chunked`";
   const std::string length = "Content-Length is not one number";
   return {
@@ -47,6 +50,29 @@
       {"oops\r\n" + kLength, status_line},
       {"\r\n" + kOk + kLength, status_line},
       {"HTTP/1.1 101 Switching Protocols\r\n", "the status switches"},
+      {kOk + kLength + " X-Odd: 1\r\n", folded},
+      {kOk + kLength + "\tX-Odd: 1\r\n", folded},
+      {kOk + " X-Odd: 1\r\n" + kLength, folded},
+      {kOk + "A: b\r\n " + kLength, folded},
+      {kOk + kLength + " \r\n", folded},
+      {kOk + "X Odd: 1\r\n" + kLength, name},
+      {kOk + "X-Odd : 1\r\n" + kLength, name},
+      {kOk + "X\x01Odd: 1\r\n" + kLength, name},
+      {kOk + "\x01X-Odd: 1\r\n" + kLength, name},
+      {kOk + "X-Odd\x7f: 1\r\n" + kLength, name},
+      {kOk + "X-Odd\x80: 1\r\n" + kLength, name},
+      {kOk + "X(Odd): 1\r\n" + kLength, name},
+      {kOk + ": 1\r\n" + kLength, name},
+      {kOk + "X-Odd\r\n" + kLength, name},
+      {kOk + "Content-Length : 2\r\n", name},
+      {kOk + "X-Odd: a\x01\r\n" + kLength, "a field value"},
+      {kOk + "X-Odd: a\x7f b\r\n" + kLength, "a field value"},
+      {kOk + "X\rOdd: 1\r\n" + kLength, line},
+      {kOk + "X-Odd: 1\n" + kLength, line},
+      {kOk + "X-Odd: 1\r" + kLength, line},
+      {kOk + std::string("X-Odd: \0\r\n", 10) + kLength, line},
+      {"HTTP/1.1 200 OK\n" + kLength, line},
+      {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok", line},
       {kOk + kChunked + kChunked, encoding},
       {kOk + "Transfer-Encoding: identity\r\n", encoding},
       {kOk + "Transfer-Encoding: gzip, chunked\r\n", encoding},
