Fail a response without length whose connection was reset

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: the system states the error of a connection once. The write of the request took it; the exchange then read what had arrived, as a target may have answered before it read the whole request, and the read that followed the last byte saw an end in order. Such an end completes a response that has neither a length nor chunks.

Responses with a length or chunks, whole or cut, and one without a length that ends in order were right before.

Change: the exchange keeps the error of the write. A response that ends with its connection fails with that error and outcome unknown; RFC 9112, section 8, calls it whole only if the connection states no error.

Why this works: after a failed write, an end of the connection shows nothing, and only the response's own framing counts.

--- a/modules/baobab_targets/scripted_peer.h
+++ b/modules/baobab_targets/scripted_peer.h
@@ -22,7 +22,8 @@
   struct Connection {
     Tcp::socket socket_;
     std::string received_;
-    int requests_ = 0;  // for scripts that count them
+    int requests_ = 0;   // for scripts that count them
+    bool reads_ = true;  // cleared by a script that leaves further bytes unread
     std::array<char, 65536> buffer_{};
   };
   /// Called after each read with the connection, whose received_ has grown.
@@ -50,7 +51,7 @@
     acceptor_.async_accept(
         [this](boost::system::error_code error, Tcp::socket socket) {
           if (!error) {
-            connections_.push_back({std::move(socket), {}, 0, {}});
+            connections_.push_back({std::move(socket), {}, 0, true, {}});
             Read(connections_.back());
             Accept();
           }
@@ -65,7 +66,7 @@
           }
           connection.received_.append(connection.buffer_.data(), size);
           script_(connection);
-          if (connection.socket_.is_open()) {
+          if (connection.socket_.is_open() && connection.reads_) {
             Read(connection);
           }
         });
--- a/modules/baobab_targets/target_exchange.cc
+++ b/modules/baobab_targets/target_exchange.cc
@@ -143,6 +143,7 @@
   // a connected socket and has not been seen to fail with none written.
   bool bytes_left_ = false;
   bool write_pending_ = false;
+  Error send_error_;  // set if the request was not sent whole
   std::optional<Duration> keep_alive_time_;
   bool paused_ = false;
   bool reading_ = false;
@@ -253,7 +254,7 @@
   }
   if (error && bytes_left_) {
     // The target may have answered before it read the whole request.
-    sent_ = outgoing_bytes();
+    send_error_ = error;
     ReadHead();
   } else if (error) {
     Fail("send", error);
@@ -409,6 +410,13 @@
     Fail("receive", http::error::end_of_stream);
     return;
   }
+  if (send_error_ && parser_->need_eof()) {
+    // The system states the error of a connection once, here to the write, and
+    // then shows a reset as an end in order. A response without a length is
+    // whole only without an error (RFC 9112, section 8).
+    Fail("receive", send_error_);
+    return;
+  }
   ended_ = true;
   deadline_.cancel();
   // Bytes after the response belong to no request: such a connection is not
--- a/modules/baobab_targets/target_exchange_test.cc
+++ b/modules/baobab_targets/target_exchange_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "baobab_targets/exchange_fixture.h"
 #include "baobab_targets/service_client.h"
@@ -302,6 +303,55 @@
   CHECK((!row.body_ || fixture.body_ == *row.body_));
 }
 
+constexpr std::size_t kLongUpload = std::size_t{32} * 1024 * 1024;
+
+// Guards against part of a response that looks complete: the failed write of
+// the request takes the error of the connection, so that the read which
+// follows sees an end in order.
+TEST_CASE("A response to a request that was cut off needs an end of its own",
+          "[targets]") {
+  struct Case {
+    const char* what_;
+    std::string fields_and_body_;
+    bool resets_;  // else the target reads on and closes in order
+    bool whole_;
+  };
+  const auto row = GENERATE(values<Case>({
+      {"no length, reset", "\r\npart", true, false},
+      {"no length, empty, reset", "\r\n", true, false},
+      {"no length, closed in order", "\r\nwhole", false, true},
+      {"length, reset", "Content-Length: 5\r\n\r\nwhole", true, true},
+      {"length, cut, reset", "Content-Length: 9\r\n\r\npart", true, false},
+      {"chunked, reset",
+       "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true, true},
+      {"chunked, cut, reset", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+       true, false},
+  }));
+  INFO(row.what_);
+  std::size_t received = 0;
+  ExchangeFixture fixture([&](ScriptedPeer::Connection& connection) {
+    if (std::exchange(received, received + connection.received_.size()) == 0) {
+      Reply(connection, "HTTP/1.1 200 OK\r\n" + row.fields_and_body_);
+      if (row.resets_) {
+        connection.socket_.set_option(asio::socket_base::linger(true, 0));
+        connection.socket_.close();
+      } else {
+        connection.socket_.shutdown(ScriptedPeer::Tcp::socket::shutdown_send);
+      }
+    }
+    connection.received_.clear();
+  });
+  auto request = fixture.Request();
+  request.method_ = "POST";
+  request.body_ = std::string(kLongUpload, 'u');
+  fixture.Run(std::move(request));
+  CHECK(fixture.ended_ == row.whole_);
+  CHECK(fixture.failure_.has_value() != row.whole_);
+  if (fixture.failure_) {
+    CHECK(fixture.failure_->outcome_ == Outcome::kUnknown);
+  }
+}
+
 // Guards against a shared body that is cut or sent after the wrong head.
 TEST_CASE("A shared body is sent whole", "[targets]") {
   const auto size = GENERATE(std::size_t{0}, std::size_t{1}, kSize);
