Close connections whose request was not sent whole

What callers could see: the request of another caller, taken by a target for the rest of a long upload.

Cause: when the time for writing a request ends, the exchange still reads a response that the target sent early. If it allowed more requests, the connection went back to the pool although the target was waiting for the rest of the body; the bytes of the next request were due there.

Change: a connection is pooled only if its request was sent whole. Why this works: it is the only path on which an exchange ends with a request partly sent and the connection open.

--- a/modules/baobab_targets/target_exchange.cc
+++ b/modules/baobab_targets/target_exchange.cc
@@ -419,9 +419,10 @@
   }
   ended_ = true;
   deadline_.cancel();
-  // Bytes after the response belong to no request: such a connection is not
-  // used again.
-  if (parser_->keep_alive() && buffer_.size() == 0 &&
+  // Bytes after the response belong to no request, and a target that waits for
+  // the rest of a request would take the next one for it: such connections are
+  // not used again.
+  if (parser_->keep_alive() && buffer_.size() == 0 && !send_error_ &&
       !IsRejection(parser_->get().result_int())) {
     pool_->Return(request_.endpoint_, std::move(socket_), keep_alive_time_);
   }
--- a/modules/baobab_targets/target_exchange_test.cc
+++ b/modules/baobab_targets/target_exchange_test.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "baobab_targets/exchange_fixture.h"
 #include "baobab_targets/service_client.h"
@@ -352,6 +353,29 @@
   }
 }
 
+// Guards against a request that a target takes for the rest of the one before:
+// the target has answered and still reads a body that was not sent whole.
+TEST_CASE("A connection with a request that was cut off is not used again",
+          "[targets]") {
+  std::vector<std::string> starts;
+  ExchangeFixture fixture([&](ScriptedPeer::Connection& connection) {
+    starts.push_back(connection.received_.substr(0, 4));
+    connection.received_.clear();
+    connection.reads_ = false;
+    Reply(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  for (int i = 0; i < 2; ++i) {
+    auto request = fixture.Request();
+    request.method_ = "POST";
+    request.body_ = std::string(kLongUpload, 'u');
+    request.timeouts_.send_ = std::chrono::milliseconds(100);
+    fixture.Run(std::move(request));
+    CHECK(fixture.ended_);
+    CHECK(fixture.pool_->size() == 0);
+  }
+  CHECK(starts == std::vector<std::string>{"POST", "POST"});
+}
+
 // Guards against a shared body that is cut or sent after the wrong head.
 TEST_CASE("A shared body is sent whole", "[targets]") {
   const auto size = GENERATE(std::size_t{0}, std::size_t{1}, kSize);
