Read the answers of engines to baobabd's orders with the shared reader

What operators could see (baobabd; found while all readers of answers were checked): an answer with status 000, with a folded line or of 6 MB counted as the receipt of an order, an interim response as the answer, and a second copy of an answer as the answer to the next order.

Change: the channel uses a pool of one connection and StartWholeExchange. A new field of TargetRequest lets an order use an open connection only, so that it still reaches no process but the one that reported; "An order leaves only to the process that reported" held before and holds now.

--- a/apps/baobabd/engine_channel.cc
+++ b/apps/baobabd/engine_channel.cc
@@ -7,10 +7,16 @@
 namespace baobab {
 namespace {
 
-namespace http = boost::beast::http;
 namespace json = boost::json;
 
+/// Time limit of one call.
 constexpr auto kTimeout = std::chrono::seconds(2);
+/// Engines are polled every 2 s; their connections usually stay open for a
+/// minute or more.
+constexpr auto kIdleTime = std::chrono::seconds(30);
+/// Bound on an answer: a report of an engine with thousands of adapters has
+/// some hundred kilobytes.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{4} << 20;
 constexpr unsigned kStaleFence = 409;
 
 auto Text(const json::object& object, const char* name) -> std::string {
@@ -51,20 +57,22 @@
 
 EngineChannel::EngineChannel(boost::asio::io_context& io, TargetId target,
                              TargetEndpoint endpoint)
-    : io_(io), target_(std::move(target)), endpoint_(std::move(endpoint)) {}
+    : io_(io),
+      target_(std::move(target)),
+      endpoint_(std::move(endpoint)),
+      pool_(std::make_shared<ConnectionPool>(io, 1, kIdleTime)) {}
 
 auto EngineChannel::Poll(OnReport on_report) -> void {
   Call call;
-  call.request_.method(http::verb::get);
-  call.request_.target("/admin/report");
-  call.on_answer_ = [this, on_report =
-                               std::move(on_report)](const Response* response) {
-    auto report = response == nullptr
-                      ? std::nullopt
-                      : ParseServerReport(target_, response->body());
-    identified_ = report ? report->engine_ : 0;
-    on_report(std::move(report));
-  };
+  call.request_.path_ = "/admin/report";
+  call.on_answer_ =
+      [this, on_report = std::move(on_report)](const TargetResponse* response) {
+        auto report = response == nullptr
+                          ? std::nullopt
+                          : ParseServerReport(target_, response->body_);
+        identified_ = report ? report->engine_ : 0;
+        on_report(std::move(report));
+      };
   Add(std::move(call));
 }
 
@@ -72,10 +80,11 @@
     -> void {
   Call call;
   call.engine_ = order.engine_;
-  call.request_.method(http::verb::post);
-  call.request_.target("/admin/orders");
-  call.request_.set(http::field::content_type, "application/json");
-  call.request_.body() = json::serialize(
+  call.request_.method_ = "POST";
+  call.request_.path_ = "/admin/orders";
+  call.request_.headers_ = {{"Content-Type", "application/json"}};
+  call.request_.open_connection_only_ = true;
+  call.request_.body_ = json::serialize(
       json::object{{"order_id", order.order_.id_.value()},
                    {"fence", order.order_.fence_},
                    {"kind", placement::ToString(order.order_.kind_)},
@@ -83,9 +92,9 @@
                    {"value", order.copy_.version_},
                    {"memory_mb", order.memory_mb_}});
   call.on_answer_ = [on_answer =
-                         std::move(on_answer)](const Response* response) {
+                         std::move(on_answer)](const TargetResponse* response) {
     on_answer(response == nullptr ? placement::OrderAnswer::kLost
-              : response->result_int() == kStaleFence
+              : response->head_.status_ == kStaleFence
                   ? placement::OrderAnswer::kRejected
                   : placement::OrderAnswer::kReceived);
   };
@@ -93,10 +102,8 @@
 }
 
 auto EngineChannel::Add(Call call) -> void {
-  call.request_.version(11);
-  call.request_.set(http::field::host, endpoint_.ToString());
-  call.request_.keep_alive(true);
-  call.request_.prepare_payload();
+  call.request_.endpoint_ = endpoint_;
+  call.request_.timeouts_ = {kTimeout, kTimeout, kTimeout, kTimeout, kTimeout};
   calls_.push_back(std::move(call));
   if (calls_.size() == 1) {
     StartNext();
@@ -107,76 +114,26 @@
   if (calls_.empty()) {
     return;
   }
-  const auto& call = calls_.front();
-  if (call.engine_ != 0 && (!stream_ || call.engine_ != identified_)) {
-    boost::asio::post(io_,
-                      [self = shared_from_this()] { self->Finish(nullptr); });
-  } else if (stream_) {
-    Exchange();
-  } else {
-    Connect();
+  auto& call = calls_.front();
+  const auto self = shared_from_this();
+  if (call.engine_ != 0 && call.engine_ != identified_) {
+    boost::asio::post(io_, [self] { self->Finish(nullptr); });
+    return;
   }
+  StartWholeExchange(
+      pool_, std::move(call.request_), kMaxAnswerBytes,
+      {[self](const TargetResponse& response) { self->Finish(&response); },
+       [self](const AttemptFailure& /*failure*/) { self->Finish(nullptr); }});
 }
 
-auto EngineChannel::Connect() -> void {
-  identified_ = 0;
-  buffer_.clear();
-  stream_ = std::make_unique<boost::beast::tcp_stream>(io_);
-  stream_->expires_after(kTimeout);
-  stream_->async_connect(
-      {boost::asio::ip::make_address(endpoint_.host_), endpoint_.port_},
-      [self = shared_from_this()](const boost::system::error_code& error) {
-        if (error) {
-          self->Close();
-          self->Finish(nullptr);
-        } else {
-          self->Exchange();
-        }
-      });
-}
-
-auto EngineChannel::Exchange() -> void {
-  stream_->expires_after(kTimeout);
-  response_ = {};
-  http::async_write(
-      *stream_, calls_.front().request_,
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t /*bytes*/) {
-        if (error) {
-          self->Close();
-          self->Finish(nullptr);
-          return;
-        }
-        http::async_read(*self->stream_, self->buffer_, self->response_,
-                         [self](const boost::system::error_code& failure,
-                                std::size_t /*size*/) {
-                           if (failure) {
-                             self->Close();
-                             self->Finish(nullptr);
-                             return;
-                           }
-                           const auto response = std::move(self->response_);
-                           if (!response.keep_alive()) {
-                             self->Close();
-                           }
-                           self->Finish(&response);
-                         });
-      });
-}
-
-auto EngineChannel::Finish(const Response* response) -> void {
+auto EngineChannel::Finish(const TargetResponse* response) -> void {
   const auto call = std::move(calls_.front());
   calls_.pop_front();
   call.on_answer_(response);
-  if (!stream_) {
-    identified_ = 0;
+  if (pool_->size() == 0) {
+    identified_ = 0;  // the connection is closed
   }
   StartNext();
 }
 
-auto EngineChannel::Close() -> void {
-  stream_.reset();
-  identified_ = 0;
-}
-
 }  // namespace baobab
--- a/apps/baobabd/engine_channel.h
+++ b/apps/baobabd/engine_channel.h
@@ -1,10 +1,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
-#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -13,7 +9,9 @@
 
 #include "baobab_base/strong_id.h"
 #include "baobab_placement/placement_actions.h"
+#include "baobab_targets/connection_pool.h"
 #include "baobab_targets/target_endpoint.h"
+#include "baobab_targets/whole_exchange.h"
 
 namespace baobab {
 
@@ -42,30 +40,25 @@
   auto Send(const placement::SendOrder& order, OnAnswer on_answer) -> void;
 
  private:
-  using Response =
-      boost::beast::http::response<boost::beast::http::string_body>;
   struct Call {
-    boost::beast::http::request<boost::beast::http::string_body> request_;
+    TargetRequest request_;
     /// Called with nothing if there is no answer.
-    std::function<void(const Response*)> on_answer_;
+    std::function<void(const TargetResponse*)> on_answer_;
     Incarnation engine_ = 0;  ///< 0: any process.
   };
 
   auto Add(Call call) -> void;
   auto StartNext() -> void;
-  auto Connect() -> void;
-  auto Exchange() -> void;
-  auto Finish(const Response* response) -> void;
-  auto Close() -> void;
+  auto Finish(const TargetResponse* response) -> void;
 
   boost::asio::io_context& io_;
   TargetId target_;
   TargetEndpoint endpoint_;
-  std::unique_ptr<boost::beast::tcp_stream> stream_;  ///< Null if closed.
+  /// Holds the connection between two calls. Calls follow one another, so that
+  /// it is the one of the last call.
+  std::shared_ptr<ConnectionPool> pool_;
   Incarnation identified_ = 0;  ///< Process at the other end; 0 if unknown.
   std::deque<Call> calls_;      ///< The first is in progress.
-  boost::beast::flat_buffer buffer_;
-  Response response_;
 };
 
 }  // namespace baobab
--- a/modules/baobab_targets/target_exchange.cc
+++ b/modules/baobab_targets/target_exchange.cc
@@ -180,7 +180,12 @@
     }
   }
   asio::post(pool_->io(), [self = shared_from_this()] {
-    if (!self->ended_) {
+    if (self->ended_) {
+      return;
+    }
+    if (self->request_.open_connection_only_) {
+      self->Fail("connect", "no connection is open");
+    } else {
       self->Connect();
     }
   });
--- a/modules/baobab_targets/target_exchange.h
+++ b/modules/baobab_targets/target_exchange.h
@@ -44,6 +44,9 @@
   /// costs much: a pooled connection may have been closed by the target in the
   /// meantime, which shows only after bytes have left.
   bool new_connection_ = false;
+  /// Opens no connection: without a pooled one the exchange fails with outcome
+  /// kNotRun. For calls to the process that answered before.
+  bool open_connection_only_ = false;
   /// Name of a header that the target echoes, and the value sent in it; an
   /// empty value if the request does not contain the header. A response with
   /// another value answers an earlier request and is skipped. With an empty
