End the error response of an engine at its bound

What callers could see (baobabd; found while all readers of answers were checked): an attempt that went on for as long as an engine sent an error body, and `not_run` for it in the end if the status was 503.

Cause: the client kept the first 64 KiB of an error body, skipped the rest, and waited for its end. Each piece renewed the time limit.

Evidence: `targets_test` "An error response without end is a failure" failed in 3 of 6 checks: all 16 MB that the stand-in sent were read, and a 503 without end counted as not run.

Change: an error body above the bound fails the attempt with outcome unknown and closes the connection. Why this works: a response that breaks off proves nothing about the request, and no byte is read beyond the bound.

--- a/modules/baobab_targets/engine_client.cc
+++ b/modules/baobab_targets/engine_client.cc
@@ -86,8 +86,12 @@
     return;
   }
   if (stream->status_ != 200) {
-    stream->error_body_ +=
-        bytes.substr(0, kMaxErrorBytes - stream->error_body_.size());
+    if (stream->error_body_.size() + bytes.size() > kMaxErrorBytes) {
+      FailDecode(stream, "an error response exceeds " +
+                             std::to_string(kMaxErrorBytes) + " bytes");
+      return;
+    }
+    stream->error_body_ += bytes;
     return;
   }
   const bool fits = stream->parser_.Feed(
--- a/modules/baobab_targets/engine_client_test.cc
+++ b/modules/baobab_targets/engine_client_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -89,6 +91,47 @@
   CHECK(result.failure_->body_ == (row.status_ == 200 ? "" : "{}"));
 }
 
+// Guards against an exchange that reads an error response without end for as
+// long as the engine sends.
+TEST_CASE("An error response without end is a failure", "[targets]") {
+  const auto* head = GENERATE("HTTP/1.1 503 X\r\n", "HTTP/1.1 500 X\r\n");
+  constexpr std::size_t kMostPieces = 1000;
+  asio::io_context io;
+  std::size_t pieces = 0;
+  const auto piece = std::make_shared<std::string>(16 * 1024, 'x');
+  std::function<void(ScriptedPeer::Connection&)> send_piece =
+      [&](ScriptedPeer::Connection& connection) {
+        asio::async_write(
+            connection.socket_, asio::buffer(*piece),
+            [&](boost::system::error_code error, std::size_t /*bytes*/) {
+              if (!error && ++pieces < kMostPieces) {
+                send_piece(connection);
+              } else {
+                connection.socket_.close();
+              }
+            });
+      };
+  ScriptedPeer peer(io, [&](ScriptedPeer::Connection& connection) {
+    asio::write(connection.socket_,
+                asio::buffer(std::string(head) + "Connection: close\r\n\r\n"));
+    send_piece(connection);
+  });
+  EngineClient client(
+      std::make_shared<ConnectionPool>(io, 4, std::chrono::seconds(60)), {});
+  std::optional<ChatFailure> failure;
+  client.StartChat(peer.endpoint(), "{}", false,
+                   {{},
+                    [](const ChatChunk&) {},
+                    [] { FAIL("no failure"); },
+                    [&](const ChatFailure& f) { failure = f; }});
+  while (!failure) {
+    io.run_one();
+  }
+  CHECK(pieces < kMostPieces);
+  CHECK(failure->failure_.outcome_ == Outcome::kUnknown);
+  CHECK(failure->body_.size() <= 64 * 1024);
+}
+
 TEST_CASE("Invalid completion requests are rejected with a reason",
           "[targets]") {
   auto [body, reason] = GENERATE(table<std::string, std::string>({
