Bound answers of the store by the memory of a daemon

What operators could see (baobabd; found while all readers of answers were checked): a store that sends bytes without end takes 256 MB of a daemon, twice the memory that the design gives it, and a message of a watch without end keeps its thread busy.

Cause: the bounds were 256 MB for an answer and 64 MB for a message, from the number of contracts rather than from memory. A watch copied the whole part of the message that had arrived for each further 4 KB.

Evidence: `platform_test` "Bytes of the store without end are a failure" failed in both rows: the read took all of the 48 MB sent, the watch had not ended after 100 s.

Change: one bound of 32 MB, a quarter of the 128 MB of the design, as the entry daemon gives to responses. A watch looks for the end of a message in new bytes only.

--- a/modules/baobab_platform/store_client.cc
+++ b/modules/baobab_platform/store_client.cc
@@ -10,9 +10,6 @@
 namespace baobab::platform {
 namespace {
 
-/// Largest answer: all contracts of a region with room.
-constexpr std::size_t kLargestAnswer = std::size_t{256} << 20;
-
 constexpr unsigned kOk = 200;
 
 /// Statuses with which the gateway refuses a call before it takes effect.
@@ -55,8 +52,8 @@
       self->endpoint_->MarkFailed(address);
       on_result(Failed<Result>(ToFailure(failure), ToEffect(failure)));
     };
-    StartWholeExchange(endpoint_->pool(), std::move(request), kLargestAnswer,
-                       std::move(events));
+    StartWholeExchange(endpoint_->pool(), std::move(request),
+                       kMaxStoreAnswerBytes, std::move(events));
   }
 
   auto Watch(const std::string& prefix, Revision from, WatchEvents events)
--- a/modules/baobab_platform/store_client_test.cc
+++ b/modules/baobab_platform/store_client_test.cc
@@ -1,13 +1,18 @@
 #include "baobab_platform/store_client.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "baobab_base/step_error.h"
+#include "baobab_targets/scripted_peer.h"
 #include "stand_ins/store_server.h"
 
 namespace baobab::platform {
@@ -52,6 +57,52 @@
   }
 };
 
+// Guards against a store that uses up the memory of a daemon by an answer, or a
+// message of a watch, that has no end.
+TEST_CASE("Bytes of the store without end are a failure", "[platform]") {
+  const bool watch = GENERATE(false, true);
+  constexpr std::size_t kMostPieces = 48;  // of a megabyte
+  boost::asio::io_context context;
+  std::size_t pieces = 0;
+  const auto piece = std::make_shared<std::string>(std::size_t{1} << 20, 'x');
+  std::function<void(ScriptedPeer::Connection&)> send_piece =
+      [&](ScriptedPeer::Connection& connection) {
+        boost::asio::async_write(
+            connection.socket_, boost::asio::buffer(*piece),
+            [&](boost::system::error_code error, std::size_t /*bytes*/) {
+              if (!error && ++pieces < kMostPieces) {
+                send_piece(connection);
+              }
+            });
+      };
+  ScriptedPeer peer(context, [&](ScriptedPeer::Connection& connection) {
+    if (pieces == 0) {
+      boost::asio::write(
+          connection.socket_,
+          boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")));
+      send_piece(connection);
+    }
+  });
+  StoreClientSettings settings;
+  settings.addresses_ = {peer.endpoint().ToString()};
+  settings.first_backoff_ = std::chrono::milliseconds(1);
+  settings.longest_backoff_ = std::chrono::milliseconds(2);
+  StoreClient client(context, settings);
+  std::optional<ReadResult> result;
+  WatchHandle handle;
+  if (watch) {
+    handle = client.Watch("/", 1, {});
+  } else {
+    client.Read("/k", [&](ReadResult read) { result = std::move(read); });
+  }
+  // A watch that is given up opens another connection.
+  while (pieces < kMostPieces && !result && peer.accepted() < 2) {
+    context.run_one();
+  }
+  CHECK(pieces < kMostPieces);
+  CHECK((watch || (result && result->failure_)));
+}
+
 TEST_CASE("A compare-and-swap tells the loser what it lost to", "[platform]") {
   Rig rig;
   const auto first = rig.Swap(0, "one");
--- a/modules/baobab_platform/store_endpoint.h
+++ b/modules/baobab_platform/store_endpoint.h
@@ -11,6 +11,11 @@
 
 namespace baobab::platform {
 
+/// Bound on an answer, and on a message of a watch, in bytes: a quarter of the
+/// memory of a daemon (docs/design.md, section 1.3). A store that sends bytes
+/// without end must not use up the rest.
+inline constexpr std::size_t kMaxStoreAnswerBytes = std::size_t{32} << 20;
+
 /// Builds requests to the address of the configuration service that worked
 /// last. Used by StoreClient and its watches only.
 class StoreEndpoint {
--- a/modules/baobab_platform/store_watch.cc
+++ b/modules/baobab_platform/store_watch.cc
@@ -4,12 +4,6 @@
 #include <utility>
 
 namespace baobab::platform {
-namespace {
-
-/// Longest message of a watch: a few dozen values of the largest size.
-constexpr std::size_t kLongestLine = std::size_t{64} << 20;
-
-}  // namespace
 
 StoreWatch::StoreWatch(std::shared_ptr<StoreEndpoint> endpoint,
                        std::string prefix, Revision from, WatchEvents events,
@@ -66,10 +60,13 @@
 
 auto StoreWatch::OnData(std::string_view bytes) -> void {
   partial_line_ += bytes;
-  if (partial_line_.size() > kLongestLine) {
+  if (partial_line_.size() > kMaxStoreAnswerBytes) {
     Abandon();
     return;
   }
+  if (bytes.find('\n') == std::string_view::npos) {
+    return;  // the line goes on; it is not copied for each of its pieces
+  }
   const std::string text = std::exchange(partial_line_, {});
   std::size_t start = 0;
   for (auto end = text.find('\n'); end != std::string::npos;
