Bound the streams that the load tool checks

Found while all readers of answers were checked: baobab_load kept the text of a stream without end, and a daemon that sent a byte now and then kept a request open for as long as it went on.

The limit in time is the one of `targets_test` "A target that sends a byte now and then is given up"; the bound on the text has no test of its own.

--- a/tools/load_answers.cc
+++ b/tools/load_answers.cc
@@ -29,7 +29,9 @@
     } else if (event.event_ == "error") {
       problem_ = event.data_;
     } else if (const auto chunk = ParseChatChunk(event.data_)) {
-      text_ += chunk->content_;
+      // Beyond the expected text, one byte more is enough for the verdict.
+      const auto room = expected_.size() + 1 - text_.size();
+      text_ += chunk->content_.substr(0, room);
     } else {
       failed_ = true;
     }
--- a/tools/load_generator.cc
+++ b/tools/load_generator.cc
@@ -158,6 +158,7 @@
   message.body_ = std::move(body);
   message.timeouts_.head_ = kDeadline;
   message.timeouts_.body_ = kDeadline;
+  message.timeouts_.total_ = kDeadline;
   return message;
 }
 
