--- a/modules/baobab_targets/engine_client_test.cc
+++ b/modules/baobab_targets/engine_client_test.cc
@@ -129,7 +129,7 @@
   }
   CHECK(pieces < kMostPieces);
   CHECK(failure->failure_.outcome_ == Outcome::kUnknown);
-  CHECK(failure->body_.size() <= 64 * 1024);
+  CHECK(failure->body_.size() <= std::size_t{64} * 1024);
 }
 
 TEST_CASE("Invalid completion requests are rejected with a reason",
