--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -185,6 +185,7 @@
         [this](const std::set<std::string>& targets) {
           SendLoadUpdates(targets);
         });
+    store_.SetEraHandler([this] { OnLaterStoreEra(); });
     sync_.Start();
     Register();
     SendPeriodicReports();
@@ -279,6 +280,10 @@
     }
   }
 
+  /// Handles the first response of the store in a later era, or the first one
+  /// that states an era.
+  auto OnLaterStoreEra() -> void;
+
   auto OnOwnEntry(const StoreEntry& entry) -> void;
 
   /// Encodes the value of the store entry that registers this instance:
@@ -466,6 +471,7 @@
   boost::asio::signal_set signals_;
   std::vector<MissingAdapter> last_missing_adapters_;
   std::int64_t sequence_ = 0;
+  std::int64_t store_era_ = 0;  // last one that was logged
   std::int64_t registration_lease_ = 0;
   TimePoint registration_confirmed_at_{-kRegistrationTtl};  // on the boot clock
   bool outage_reported_ = false;  // no coordinator reaches the store
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -7,6 +7,19 @@
 
 namespace baobab::gateway {
 
+template <class Platform>
+auto EntryInstance<Platform>::OnLaterStoreEra() -> void {
+  const auto previous = std::exchange(store_era_, store_.era().value());
+  LogEvent(previous == 0 ? LogLevel::kInfo : LogLevel::kWarning, "store_era")
+      .With("era", store_era_)
+      .With("previous", previous)
+      .With("revision", sync_.revision())
+      .With("fence", holder_.fencing_token());
+  if (previous != 0) {
+    metrics_.Add("gateway_store_restores_total", "");
+  }
+}
+
 template <class Platform>
 auto EntryInstance<Platform>::OnOwnEntry(const StoreEntry& entry) -> void {
   holder_.OnStoreEntry(entry);
@@ -304,6 +317,8 @@
                  gateway_.caps().Share(account, BootNow()).rate_);
   }
   metrics_.Set("gateway_is_cap_broker", "", cap_broker_.term() != 0 ? 1 : 0);
+  metrics_.Set("gateway_store_era", "",
+               static_cast<double>(store_.era().value()));
   metrics_.Set("gateway_store_connected", "", sync_.is_connected() ? 1 : 0);
   const auto counts = gateway_.connection_counts();
   for (const auto& [name, value] :
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -33,8 +33,8 @@
 /// Call Start() once and pass in store entries, reports of peers and the
 /// registry of targets as they arrive. Runs on the thread of its io_context.
 ///
-/// `Store` provides GrantLease, RenewLease, RevokeLease and Commit. `Codec`
-/// encodes orders and requests for reports, and decodes the responses.
+/// `Store` provides GrantLease, RenewLease, RevokeLease, Commit and era.
+/// `Codec` encodes orders and requests for reports, and decodes the responses.
 template <class Store, class Codec>
 class OrderHolder {
  public:
@@ -331,6 +331,7 @@
     planner_.StartTerm(/*may_have_loaded=*/true, Now());
     LogEvent(LogLevel::kInfo, "holder_acquired")
         .With("fence", event.fencing_token_)
+        .With("store_era", store_.era().value())
         .With("last_holder", event.last_holder_)
         .With("last_revision", event.last_revision_);
   }
