--- a/modules/baobab_gateway/order_lease_fleet_test.cc
+++ b/modules/baobab_gateway/order_lease_fleet_test.cc
@@ -164,6 +164,53 @@
   CHECK(fleet.TakeOrderCount() > 0);
 }
 
+// Guards against two holders of the order lease with one fencing token, and
+// against a token that goes back: the store returned from an older copy and
+// gave out its revisions again.
+TEST_CASE("Fencing tokens rise when the store returns from an older copy",
+          "[.known_red]") {
+  struct Case {
+    const char* what_;
+    std::size_t instances_;
+    std::vector<Fleet::Event> events_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"the holder has just changed",
+       7,
+       {{milliseconds(500), Fault::kHolderKill, {}, 0},
+        {seconds(7), Fault::kStoreRestored, seconds(1), 0, seconds(8)}}},
+      {"the holder has just changed",
+       300,
+       {{milliseconds(500), Fault::kHolderKill, {}, 0},
+        {seconds(7), Fault::kStoreRestored, seconds(1), 0, seconds(8)}}},
+      {"the holder ends in the outage",
+       7,
+       {{milliseconds(500), Fault::kHolderStop, {}, 0},
+        {seconds(9), Fault::kStoreRestored, seconds(2), 0, seconds(6)},
+        {milliseconds(9500), Fault::kHolderKill, {}, 0}}},
+      {"the store returns from a copy several times",
+       7,
+       {{milliseconds(500), Fault::kHolderKill, {}, 0},
+        {seconds(7), Fault::kStoreRestored, seconds(1), 0, seconds(7)},
+        {milliseconds(7500), Fault::kHolderKill, {}, 0},
+        {seconds(14), Fault::kStoreRestored, seconds(1), 0, seconds(6)},
+        {milliseconds(14500), Fault::kHolderKill, {}, 0}}},
+  }));
+  const auto seed = GENERATE(range<std::uint64_t>(1, 6));
+  INFO(test.what_ << ", " << test.instances_ << " instances, seed " << seed);
+  Fleet fleet({.instances_ = test.instances_, .seed_ = seed});
+  fleet.RunUntilFirstOrder();
+  fleet.Run(seconds(5));
+  fleet.Schedule(test.events_);
+  fleet.Run(seconds(35));
+  INFO(fleet.first_violation());
+  CHECK(fleet.shared_token_count() == 0);
+  CHECK(fleet.violation_count() == 0);
+  (void)fleet.TakeOrderCount();
+  fleet.Run(seconds(5));
+  CHECK(fleet.TakeOrderCount() > 0);
+}
+
 /// Draws faults within 20 s that overlap and repeat.
 auto DrawEvents(std::size_t instances, std::uint64_t seed)
     -> std::vector<Fleet::Event> {
@@ -192,7 +239,21 @@
   return events;
 }
 
-auto RunHistory(std::uint64_t seed) -> void {
+/// Draws drills within 20 s in which the store returns from an older copy.
+auto DrawRestores(std::uint64_t seed) -> std::vector<Fleet::Event> {
+  Random random(seed);
+  const auto draw = [&random](int from, int to) {
+    return milliseconds(std::uniform_int_distribution<int>(from, to)(random));
+  };
+  std::vector<Fleet::Event> events;
+  for (auto count = 1 + seed % 3; count > 0; --count) {
+    events.push_back({draw(0, 20'000), Fault::kStoreRestored, draw(200, 2500),
+                      0, draw(500, 8000)});
+  }
+  return events;
+}
+
+auto RunHistory(std::uint64_t seed, bool restores = false) -> void {
   const std::size_t instances = 3 + seed % 5;
   INFO("seed " << seed << ", " << instances << " instances");
   Fleet fleet({.instances_ = instances,
@@ -202,8 +263,12 @@
                .response_loss_ = seed % 4 == 0 ? 0.15 : 0});
   fleet.RunUntilFirstOrder();
   fleet.Schedule(DrawEvents(instances, seed));
+  if (restores) {
+    fleet.Schedule(DrawRestores(seed));
+  }
   fleet.Run(seconds(40));
   INFO(fleet.first_violation());
+  CHECK(fleet.shared_token_count() == 0);
   CHECK(fleet.violation_count() == 0);
   (void)fleet.TakeOrderCount();
   fleet.Run(seconds(4));
@@ -219,6 +284,15 @@
   }
 }
 
+// The same with a store that returns from older copies: its revisions, which
+// are the fencing tokens, and its lease ids are given out again.
+TEST_CASE("Orders keep their order when the store returns from older copies",
+          "[.known_red]") {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    RunHistory(seed, /*restores=*/true);
+  }
+}
+
 // The same with more seeds; to be run by hand.
 TEST_CASE("Orders of two holders keep the handover interval, long",
           "[.][long]") {
--- a/modules/baobab_gateway/simulated_lease_faults.cc
+++ b/modules/baobab_gateway/simulated_lease_faults.cc
@@ -68,6 +68,13 @@
         }
       });
       break;
+    case Fault::kStoreRestored:
+      ++store_outages_;
+      After(event.time_, [this, copied_at = now_ - event.age_] {
+        --store_outages_;
+        store_.Restore(copied_at, now_);
+      });
+      break;
   }
 }
 
--- a/modules/baobab_gateway/simulated_lease_fleet.cc
+++ b/modules/baobab_gateway/simulated_lease_fleet.cc
@@ -245,7 +245,10 @@
   orderer_ = &machine;
   const bool turn = target.sender_ != nullptr && target.sender_ != &machine &&
                     now_ - target.at_ < kHandoverInterval;
-  if ((token < target.token_ || turn) && violation_count_++ == 0) {
+  const bool is_shared =
+      target.senders_.emplace(token, &machine).first->second != &machine;
+  shared_token_count_ += is_shared ? 1 : 0;
+  if ((token < target.token_ || turn || is_shared) && violation_count_++ == 0) {
     first_violation_ = std::to_string((now_ - kStart).count() / 1000) +
                        " ms: order of " + machine.name_ + " with token " +
                        std::to_string(token) + ", " +
@@ -253,7 +256,9 @@
                        " ms after one of " + target.sender_->name_ + " with " +
                        std::to_string(target.token_);
   }
-  target = {&machine, now_, std::max(token, target.token_)};
+  target.sender_ = &machine;
+  target.at_ = now_;
+  target.token_ = std::max(token, target.token_);
 }
 
 // Store.
@@ -404,14 +409,39 @@
                         ? std::chrono::milliseconds(1400)
                         : std::chrono::seconds(12));
         if (changes) {
-          to.revision_ = std::max(to.revision_, changes->second);
-          for (const auto& entry : changes->first) {
-            to.election_.OnStoreEntry(entry, now_);
-          }
+          ApplyChanges(to, *changes);
           to.election_.Start();
         }
         MakeCalls(to);
       });
 }
 
+auto SimulatedLeaseFleet::ApplyChanges(
+    Process& self, const SimulatedLeaseStore::Changes& changes) -> void {
+  auto gone = changes.is_listing_ ? std::exchange(self.known_keys_, {})
+                                  : std::set<std::string>();
+  for (const auto& entry : changes.entries_) {
+    gone.erase(entry.key_);
+    if (entry.removed_) {
+      self.known_keys_.erase(entry.key_);
+    } else {
+      self.known_keys_.insert(entry.key_);
+    }
+    self.election_.OnStoreEntry(entry, now_);
+  }
+  for (const auto& key : gone) {
+    self.election_.OnStoreEntry({key, "", changes.revision_, 0, true}, now_);
+  }
+  self.revision_ = changes.is_listing_
+                       ? changes.revision_
+                       : std::max(self.revision_, changes.revision_);
+}
+
+auto SimulatedLeaseFleet::CopyStore() -> void {
+  if (store_outages_ == 0) {
+    store_.TakeCopy(now_);
+  }
+  After(std::chrono::milliseconds(100), [this] { CopyStore(); });
+}
+
 }  // namespace baobab::gateway::test
--- a/modules/baobab_gateway/simulated_lease_fleet.h
+++ b/modules/baobab_gateway/simulated_lease_fleet.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -42,12 +43,16 @@
     kHolderKill,      ///< As kKill, of the instance that holds the lease.
     kHolderStoreCut,  ///< As kStoreCut, of the instance that holds the lease.
     kStoreDown,       ///< The store responds to nobody.
+    /// As kStoreDown, and the store returns from a copy is Event::age_ old
+    /// when the outage began.
+    kStoreRestored,
   };
   struct Event {
     Duration at_{};  ///< Since the call of Schedule().
     Fault fault_ = Fault::kCut;
     Duration time_{};        ///< Ignored for ends of processes.
     std::size_t index_ = 0;  ///< Instance; 0 is the first holder.
+    Duration age_{};         ///< Of the copy, for kStoreRestored.
   };
   struct Options {
     std::size_t instances_ = 7;
@@ -75,6 +80,7 @@
     for (auto& machine : machines_) {
       StartProcess(*machine);
     }
+    CopyStore();
   }
 
   /// Schedules faults, relative to the current time.
@@ -108,7 +114,12 @@
 
   /// Returns the number of orders that arrived out of turn.
   [[nodiscard]] auto violation_count() const -> int { return violation_count_; }
-  /// Returns a description of the first such order.
+  /// Returns the number of orders that arrived with the fencing token of an
+  /// order of another instance.
+  [[nodiscard]] auto shared_token_count() const -> int {
+    return shared_token_count_;
+  }
+  /// Returns a description of the first order out of turn.
   [[nodiscard]] auto first_violation() const -> const std::string& {
     return first_violation_;
   }
@@ -149,6 +160,7 @@
     TimePoint started_at_{};
     TimePoint last_response_{};  // of the store
     std::int64_t revision_ = 0;
+    std::set<std::string> known_keys_;  // of the store
     bool reading_ = false;
     Duration next_report_{};
     Duration next_read_{};
@@ -183,6 +195,7 @@
     const Machine* sender_ = nullptr;
     Duration at_{};
     std::int64_t token_ = 0;
+    std::map<std::int64_t, const Machine*> senders_;  // by token
   };
 
   auto After(Duration delay, std::function<void()> action) -> void {
@@ -233,6 +246,9 @@
   auto MakeCalls(Process& self) -> void;
   auto MakeCall(Process& self, const HolderStoreCall& call) -> void;
   auto ReadStore(Process& self) -> void;
+  auto ApplyChanges(Process& self, const SimulatedLeaseStore::Changes& changes)
+      -> void;
+  auto CopyStore() -> void;
   auto Begin(const Event& event) -> void;
   /// Returns the connected instance that holds the lease; without one, instance
   /// `fallback`.
@@ -251,6 +267,7 @@
   int store_outages_ = 0;
   std::map<std::size_t, Target> targets_;
   int violation_count_ = 0;
+  int shared_token_count_ = 0;
   std::string first_violation_;
   int orders_ = 0;
   const Machine* orderer_ = nullptr;
--- a/modules/baobab_gateway/simulated_lease_store.h
+++ b/modules/baobab_gateway/simulated_lease_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -67,18 +68,54 @@
     return revision_;
   }
 
-  /// Returns the entries that have changed since `revision`, and the revision
-  /// of the store.
-  auto ChangesSince(std::int64_t revision, Duration now)
-      -> std::pair<std::vector<StoreEntry>, std::int64_t> {
+  /// The result of a read.
+  struct Changes {
+    std::vector<StoreEntry> entries_;
+    std::int64_t revision_ = 0;  ///< Of the store.
+    /// All entries are listed, since the changes after the given revision are
+    /// not known.
+    bool is_listing_ = false;
+  };
+
+  /// Returns the entries that have changed since `revision`.
+  auto ChangesSince(std::int64_t revision, Duration now) -> Changes {
     ExpireLeases(now);
-    std::vector<StoreEntry> changes;
+    Changes changes;
+    changes.is_listing_ = revision > revision_;
+    changes.revision_ = revision_;
     for (const auto& [key, entry] : entries_) {
-      if (entry.revision_ > revision) {
-        changes.push_back(entry);
+      if (changes.is_listing_ ? !entry.removed_ : entry.revision_ > revision) {
+        changes.entries_.push_back(entry);
       }
     }
-    return {std::move(changes), revision_};
+    return changes;
+  }
+
+  /// Keeps a copy of the state, for Restore(). Copies are kept for
+  /// kMaxCopyAge.
+  auto TakeCopy(Duration now) -> void {
+    ExpireLeases(now);
+    copies_.push_back({now, entries_, leases_, last_lease_, revision_});
+    while (now - copies_.front().at_ > kMaxCopyAge) {
+      copies_.pop_front();
+    }
+  }
+
+  /// Returns to the newest copy that was taken at `at` or before. Later writes
+  /// and leases are gone, and their revisions and ids are given out again.
+  /// Leases of the copy run anew.
+  auto Restore(Duration at, Duration now) -> void {
+    while (copies_.size() > 1 && copies_.back().at_ > at) {
+      copies_.pop_back();
+    }
+    const auto copy = copies_.back();
+    entries_ = copy.entries_;
+    leases_ = copy.leases_;
+    last_lease_ = copy.last_lease_;
+    revision_ = copy.revision_;
+    for (auto& [id, expires_at] : leases_) {
+      expires_at = now + HolderLease::kStoreLeaseTtl;
+    }
   }
 
   /// Lets all leases last longer by `time`.
@@ -89,6 +126,16 @@
   }
 
  private:
+  static constexpr Duration kMaxCopyAge = std::chrono::seconds(10);
+
+  struct Copy {
+    Duration at_{};
+    std::map<std::string, StoreEntry> entries_;
+    std::map<std::int64_t, Duration> leases_;
+    std::int64_t last_lease_ = 0;
+    std::int64_t revision_ = 0;
+  };
+
   auto ExpireLeases(Duration now) -> void {
     std::erase_if(leases_,
                   [now](const auto& lease) { return lease.second <= now; });
@@ -104,6 +151,7 @@
   std::map<std::int64_t, Duration> leases_;
   std::int64_t last_lease_ = 0;
   std::int64_t revision_ = 10;
+  std::deque<Copy> copies_;
 };
 
 }  // namespace baobab::gateway::test
