--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -471,7 +471,7 @@
   boost::asio::signal_set signals_;
   std::vector<MissingAdapter> last_missing_adapters_;
   std::int64_t sequence_ = 0;
-  std::int64_t store_era_ = 0;  // last one that was logged
+  std::int64_t store_era_ = 0;
   std::int64_t registration_lease_ = 0;
   TimePoint registration_confirmed_at_{-kRegistrationTtl};  // on the boot clock
   bool outage_reported_ = false;  // no coordinator reaches the store
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -15,8 +15,14 @@
       .With("previous", previous)
       .With("revision", sync_.revision())
       .With("fence", holder_.fencing_token());
-  if (previous != 0) {
-    metrics_.Add("gateway_store_restores_total", "");
+  holder_.OnStoreEra(store_era_);
+  if (previous == 0) {
+    return;
+  }
+  metrics_.Add("gateway_store_restores_total", "");
+  // The id of its lease may be given out again.
+  if (std::exchange(registration_lease_, 0) != 0) {
+    ScheduleRegistration(Duration::zero());
   }
 }
 
@@ -45,18 +51,22 @@
   }
   const auto began = BootNow();
   if (registration_lease_ != 0) {
-    store_.RenewLease(registration_lease_, [this, began](auto result) {
-      if (const auto* failure = std::get_if<StoreFailure>(&result);
-          failure != nullptr && *failure == StoreFailure::kNoLease) {
-        LogEvent(LogLevel::kWarning, "registration_lapsed")
-            .With("lease", registration_lease_);
-        registration_lease_ = 0;
-      } else if (failure == nullptr) {
-        registration_confirmed_at_ = began;
-      }
-      ScheduleRegistration(registration_lease_ == 0 ? Duration::zero()
-                                                    : RenewInterval(Now()));
-    });
+    store_.RenewLease(
+        registration_lease_,
+        [this, began, id = registration_lease_](auto result) {
+          if (registration_lease_ != id) {
+            // Lost since with an earlier era of the store.
+          } else if (const auto* failure = std::get_if<StoreFailure>(&result);
+                     failure != nullptr && *failure == StoreFailure::kNoLease) {
+            LogEvent(LogLevel::kWarning, "registration_lapsed")
+                .With("lease", registration_lease_);
+            registration_lease_ = 0;
+          } else if (failure == nullptr) {
+            registration_confirmed_at_ = began;
+          }
+          ScheduleRegistration(registration_lease_ == 0 ? Duration::zero()
+                                                        : RenewInterval(Now()));
+        });
     return;
   }
   store_.GrantLease(kRegistrationTtl, [this, began](auto result) {
@@ -69,14 +79,16 @@
     change.writes_.push_back({kInstancesPrefix + settings_.instance_,
                               EncodeRegistration(), lease->id_});
     const auto id = lease->id_;
-    store_.Commit(change, [this, id, began](auto committed) {
-      if (std::holds_alternative<std::int64_t>(committed)) {
-        registration_lease_ = id;
-        registration_confirmed_at_ = began;
-        LogEvent(LogLevel::kInfo, "instance_registered").With("lease", id);
-      }
-      ScheduleRegistration(kRegistrationRenewInterval);
-    });
+    store_.Commit(
+        change, [this, id, began, era = store_.era().value()](auto committed) {
+          if (std::holds_alternative<std::int64_t>(committed) &&
+              era == store_.era().value()) {
+            registration_lease_ = id;
+            registration_confirmed_at_ = began;
+            LogEvent(LogLevel::kInfo, "instance_registered").With("lease", id);
+          }
+          ScheduleRegistration(kRegistrationRenewInterval);
+        });
   });
 }
 
--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -1,6 +1,7 @@
 #include "baobab_gateway/holder_election.h"
 
 #include <algorithm>
+#include <charconv>
 #include <random>
 #include <utility>
 
@@ -9,6 +10,8 @@
 
 constexpr std::string_view kReleasedPrefix = "released";
 constexpr std::string_view kWaitingPrefix = "waiting";
+/// Separates the owner id from the era.
+constexpr char kEraSeparator = '#';
 
 /// Removes `prefix` from the start of `text`. Returns false if it is missing.
 auto TakePrefix(std::string_view& text, std::string_view prefix) -> bool {
@@ -29,13 +32,23 @@
   if (is_waiting_) {
     text += kWaitingPrefix;
   }
-  return text + owner_id_;
+  text += owner_id_;
+  if (era_ != 0) {
+    text += kEraSeparator + std::to_string(era_);
+  }
+  return text;
 }
 
 auto LastHolder::Decode(std::string_view text) -> LastHolder {
   LastHolder holder;
   holder.has_released_ = TakePrefix(text, kReleasedPrefix);
   holder.is_waiting_ = TakePrefix(text, kWaitingPrefix);
+  if (const auto separator = text.rfind(kEraSeparator);
+      separator != std::string_view::npos) {
+    const auto era = text.substr(separator + 1);
+    (void)std::from_chars(era.data(), era.data() + era.size(), holder.era_);
+    text = text.substr(0, separator);
+  }
   holder.owner_id_ = text;
   return holder;
 }
@@ -71,6 +84,18 @@
   store_connected_ = connected;
 }
 
+auto HolderElection::OnStoreEra(std::int64_t era, Duration now) -> void {
+  store_era_ = era;
+  store_reconnected_at_ = now;
+  if (lease_.is_held()) {
+    held_before_era_ = IsValid(now) ? std::optional(era) : std::nullopt;
+    AddEvent(HolderEvent::Kind::kLost, "store_restored");
+    lease_.Release();
+  }
+  // Not revoked: the id may be that of another lease now.
+  lease_id_ = 0;
+}
+
 auto HolderElection::OnStoreEntry(const StoreEntry& item, Duration now)
     -> void {
   if (item.key_ == last_holder_key_) {
@@ -140,10 +165,15 @@
     is_acquiring_ = false;
     return;
   }
+  if (!KnowsLastHolder()) {
+    is_acquiring_ = false;
+    return;
+  }
   lease_id_ = *lease_id;
+  lease_era_ = store_era_;
   grant_sent_ = sent;
   prior_holder_ = PriorHolder(now);
-  former_ = last_holder_;
+  former_ = IsLastHolderOutdated() ? LastHolder() : last_holder_;
   former_revision_ = last_revision_;
   handover_end_recorded_ =
       prior_holder_ == HolderLease::PriorHolder::kOwn && IsHandoverOver(now);
@@ -165,7 +195,8 @@
   // from which the former holder was read.
   change.preconditions_.push_back({last_holder_key_, last_revision_});
   change.writes_.push_back({settings_.key_, settings_.owner_id_, lease_id_});
-  const LastHolder self{settings_.owner_id_, false, !handover_end_recorded_};
+  const LastHolder self{settings_.owner_id_, false, !handover_end_recorded_,
+                        store_era_};
   change.writes_.push_back({last_holder_key_, self.Encode(), 0});
   return change;
 }
@@ -178,6 +209,15 @@
     if (*revision < lease_entry_revision_) {
       return;  // the entry has changed since
     }
+    if (StorePosition::Era(*revision) != lease_era_) {
+      // The store returned from a copy after it had granted the lease. The one
+      // with its id is that of another entry.
+      StoreTransaction change;
+      change.preconditions_.push_back({settings_.key_, *revision});
+      change.removals_.push_back(settings_.key_);
+      calls_.push_back({HolderStoreCall::Kind::kRelease, 0, std::move(change)});
+      return;
+    }
     lease_is_free_ = false;
     if (!lease_.is_held()) {
       OnAcquired(*revision, now);
@@ -242,7 +282,8 @@
   lease_id_ = 0;
   StoreTransaction change;
   change.preconditions_.push_back({settings_.key_, token});
-  const LastHolder self{settings_.owner_id_, true, !handover_end_recorded_};
+  const LastHolder self{settings_.owner_id_, true, !handover_end_recorded_,
+                        store_era_};
   change.writes_.push_back({last_holder_key_, self.Encode(), 0});
   change.removals_.push_back(settings_.key_);
   calls_.push_back({HolderStoreCall::Kind::kRelease, 0, std::move(change)});
@@ -259,13 +300,15 @@
     next_record_ = now + kRecordInterval;
     StoreTransaction change;
     change.preconditions_.push_back({settings_.key_, lease_.fencing_token()});
-    change.writes_.push_back({last_holder_key_, settings_.owner_id_, 0});
+    const LastHolder self{settings_.owner_id_, false, false, store_era_};
+    change.writes_.push_back({last_holder_key_, self.Encode(), 0});
     calls.push_back({HolderStoreCall::Kind::kRecordHandoverEnd, lease_id_,
                      std::move(change)});
   }
   if (acquire_at_ && now >= *acquire_at_) {
     acquire_at_.reset();
-    if (lease_is_free_ && !stopping_ && !lease_.is_held()) {
+    if (lease_is_free_ && !stopping_ && !lease_.is_held() &&
+        KnowsLastHolder()) {
       is_acquiring_ = true;
       calls.push_back({HolderStoreCall::Kind::kGrantLease, 0, {}});
     }
@@ -291,6 +334,12 @@
 
 auto HolderElection::PriorHolder(Duration now) const
     -> HolderLease::PriorHolder {
+  if (IsLastHolderOutdated()) {
+    // Without an entry of this era, no instance has held the lease in it.
+    return held_before_era_ == store_era_
+               ? HolderLease::PriorHolder::kOwn
+               : HolderLease::PriorHolder::kUnknownAfterOutage;
+  }
   // The wait of a term that this process knows of is kept in `lease_`.
   const bool is_known_term = last_holder_.owner_id_ == settings_.owner_id_ &&
                              last_token_ == last_revision_;
--- a/modules/baobab_gateway/holder_election.h
+++ b/modules/baobab_gateway/holder_election.h
@@ -12,6 +12,7 @@
 #include "baobab_base/random_source.h"
 #include "baobab_base/time_types.h"
 #include "baobab_gateway/holder_lease.h"
+#include "baobab_gateway/store_position.h"
 #include "baobab_gateway/store_types.h"
 
 namespace baobab::gateway {
@@ -76,6 +77,9 @@
   /// It has not recorded that its wait for the holders before it is over. It
   /// may have sent no order so far, and theirs may be recent.
   bool is_waiting_ = false;
+  /// Era of the store in which it wrote the entry (see StoreEra). In a later
+  /// one, others may have held the lease since.
+  std::int64_t era_ = 0;
 
   [[nodiscard]] auto Encode() const -> std::string;
   [[nodiscard]] static auto Decode(std::string_view text) -> LastHolder;
@@ -89,6 +93,9 @@
 /// whether the last holder still had to wait for the one before it: a third
 /// holder then waits as if it knew neither.
 ///
+/// If the store returns from an older copy, that entry may be older than the
+/// last holder; it counts only in the era in which it was written.
+///
 /// Pass in the entries, the results of store calls and the reports of peers as
 /// they arrive. After each of them, and at the time that NextCompetition()
 /// returns, make the calls that Next() returns. All times are boot times (see
@@ -156,6 +163,10 @@
   /// Sets whether this instance has a connection to the store.
   auto SetStoreConnected(bool connected, Duration now) -> void;
 
+  /// Handles the first response of the store in the era `era`. The store has
+  /// returned from a copy: the lease is gone, and its id may be given out
+  /// again.
+  auto OnStoreEra(std::int64_t era, Duration now) -> void;
   /// Handles a change of a store entry. Entries other than those of the current
   /// and the last holder are ignored.
   auto OnStoreEntry(const StoreEntry& item, Duration now) -> void;
@@ -237,6 +248,17 @@
   auto ScheduleCompetition(Duration now) -> void;
   /// Returns the transaction that acquires the lease.
   [[nodiscard]] auto AcquireTransaction() const -> StoreTransaction;
+  /// Returns true if the entry of the last holder was read, or found missing,
+  /// in the present era.
+  [[nodiscard]] auto KnowsLastHolder() const -> bool {
+    return last_revision_ == 0 ||
+           StorePosition::Era(last_revision_) == store_era_;
+  }
+  /// Returns true if the last holder's entry does not name the last holder,
+  /// since the store returned from a copy.
+  [[nodiscard]] auto IsLastHolderOutdated() const -> bool {
+    return last_holder_.era_ != store_era_;
+  }
   /// Returns what is known of the last holder.
   [[nodiscard]] auto PriorHolder(Duration now) const
       -> HolderLease::PriorHolder;
@@ -269,8 +291,13 @@
   std::map<std::string, Duration> blocked_until_;
   std::optional<Duration> acquire_at_;
   HolderLease::PriorHolder prior_holder_ = HolderLease::PriorHolder::kUnknown;
+  std::int64_t store_era_ = 0;
   std::int64_t lease_id_ = 0;
+  std::int64_t lease_era_ = 0;   // in which lease_id_ was granted
   std::int64_t last_token_ = 0;  // of the last term of this process
+  // Era at whose beginning this process held a valid lease: no other instance
+  // held one in the era before.
+  std::optional<std::int64_t> held_before_era_;
   Duration grant_sent_{};
   Duration acquired_at_{};
   Duration next_renewal_{};
--- a/modules/baobab_gateway/holder_election_test.cc
+++ b/modules/baobab_gateway/holder_election_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace baobab::gateway {
 namespace {
@@ -19,15 +20,31 @@
 class ElectionFixture {
  public:
   /// `last_holder` is the value of the entry that names the last holder.
-  explicit ElectionFixture(const std::string& last_holder = "a/1")
-      : election_({"orders", "b", "b/1", kHandoverInterval, kMargin}, 1) {
+  explicit ElectionFixture(const std::string& last_holder = "a/1",
+                           std::int64_t era = 0)
+      : election_({"orders", "b", "b/1", kHandoverInterval, kMargin}, 1),
+        revision_(StorePosition::Make(era, kLastRevision)) {
     election_.SetMayCompete(true);
     election_.SetStoreConnected(true, now_ - seconds(60));
-    election_.OnStoreEntry(
-        {"orders/last", last_holder, kLastRevision, 0, false}, now_);
+    if (era != 0) {
+      election_.OnStoreEra(era, now_ - seconds(60));
+    }
+    election_.OnStoreEntry({"orders/last", last_holder, revision_, 0, false},
+                           now_);
     election_.Start();
   }
 
+  /// Lets the store return, in the era `era`, from a copy in which the lease is
+  /// free and the entry that names the last holder is `last_holder`; empty: it
+  /// is missing.
+  auto Restore(std::int64_t era, const std::string& last_holder) -> void {
+    election_.OnStoreEra(era, now_);
+    revision_ = StorePosition::Make(era, kLastRevision + 2);
+    election_.OnStoreEntry({"orders", "", revision_, 0, true}, now_);
+    election_.OnStoreEntry(
+        {"orders/last", last_holder, revision_, 0, last_holder.empty()}, now_);
+  }
+
   /// Runs until this instance commits the acquisition of the lease, and returns
   /// the transaction.
   auto RequestLease() -> StoreTransaction {
@@ -81,7 +98,7 @@
   HolderElection election_;
 
  private:
-  std::int64_t revision_ = kLastRevision;
+  std::int64_t revision_;
   std::int64_t lease_id_ = 0;
 };
 
@@ -226,6 +243,106 @@
   CHECK_FALSE(fixture.election_.is_held());
 }
 
+// Guards against a holder that goes on after the store has returned from an
+// older copy, renewing a lease whose id is that of another one now, and against
+// an entry of the copy that is taken for that of the last holder.
+TEST_CASE("A holder starts anew when the store returns from a copy",
+          "[gateway]") {
+  struct Case {
+    const char* what_;
+    bool expires_first_;        // locally, before the return
+    std::string last_holder_;   // in the copy
+    std::int64_t entry_era_;    // in which that was written
+    Duration expected_wait_{};  // after the acquisition
+  };
+  constexpr auto kUnknownWait =
+      HolderLease::kValidity + kHandoverInterval + HolderLease::kPostOutageWait;
+  const auto test = GENERATE_COPY(values<Case>({
+      {"held until the return", false, "a/1#1", 1, {}},
+      {"entry lost", false, "", 0, {}},
+      {"expired before", true, "a/1#1", 1, kUnknownWait},
+      {"expired before, own entry", true, "b/1#1", 1, kUnknownWait},
+      {"expired before, entry lost", true, "", 0, kUnknownWait},
+      {"another one held it since", false, "a/1#2", 2, kUnknownWait},
+      {"another one released it since", false, "releaseda/1#2", 2,
+       kHandoverInterval},
+  }));
+  INFO(test.what_);
+  ElectionFixture fixture("releaseda/0#1", 1);
+  fixture.Acquire();
+  fixture.Pass(kHandoverInterval);
+  REQUIRE(fixture.election_.MaySendOrders(fixture.now_));
+  const auto token = fixture.election_.fencing_token();
+  const auto lease = fixture.lease_id();
+  if (test.expires_first_) {
+    fixture.now_ += HolderLease::kValidity;
+  }
+  fixture.Restore(2, test.last_holder_);
+  CHECK_FALSE(fixture.election_.MaySendOrders(fixture.now_));
+  fixture.election_.OnRenewResult(lease, fixture.now_, StoreLease{lease, {}});
+  CHECK_FALSE(fixture.election_.is_held());
+  // The entry of this process in the copy, attached to the lease that it had.
+  fixture.election_.OnStoreEntry(
+      {"orders", "b/1", StorePosition::Make(2, kLastRevision + 1), lease,
+       false},
+      fixture.now_);
+  CHECK_FALSE(fixture.election_.is_held());
+  fixture.election_.OnStoreEntry(
+      {"orders", "", StorePosition::Make(2, kLastRevision + 1), 0, true},
+      fixture.now_);
+  for (const auto& call : fixture.election_.Next(fixture.now_)) {
+    CHECK(call.lease_id_ != lease);
+  }
+  fixture.Acquire();
+  const auto acquired_at = fixture.now_;
+  CHECK(fixture.election_.fencing_token() > token);
+  fixture.election_.OnPeerNotHolder({"a/1", token, {}, {}}, fixture.now_);
+  if (test.expected_wait_ > Duration::zero() && test.entry_era_ != 2) {
+    fixture.Pass(test.expected_wait_ - milliseconds(1));
+    CHECK_FALSE(fixture.election_.MaySendOrders(fixture.now_));
+    fixture.Pass(acquired_at + test.expected_wait_ - fixture.now_);
+  }
+  CHECK(fixture.election_.MaySendOrders(fixture.now_));
+}
+
+// Guards against a lease entry that stays attached to the lease of another
+// entry: the store returned from a copy between the grant of the lease and the
+// transaction, and gave out the id of the lease again.
+TEST_CASE("A lease of an earlier era gives no right", "[gateway]") {
+  ElectionFixture fixture("a/1#1", 1);
+  (void)fixture.RequestLease();
+  fixture.election_.OnStoreEra(2, fixture.now_);
+  const auto position = StorePosition::Make(2, 12);
+  fixture.election_.OnAcquireResult(position, fixture.now_);
+  CHECK_FALSE(fixture.election_.is_held());
+  const auto calls = fixture.election_.Next(fixture.now_);
+  REQUIRE(calls.size() == 1);
+  CHECK(calls[0].kind_ == HolderStoreCall::Kind::kRelease);
+  CHECK(calls[0].change_.preconditions_[0].revision_ == position);
+  CHECK(calls[0].change_.removals_ == std::vector<std::string>{"orders"});
+}
+
+// Guards against an attempt that expects the entry of an earlier era: a
+// revision that was given out again could meet it.
+TEST_CASE("An instance competes only with the last holder of the present era",
+          "[gateway]") {
+  ElectionFixture fixture("a/1#1", 1);
+  fixture.election_.OnStoreEra(2, fixture.now_);
+  const auto count_calls = [&fixture] {
+    std::size_t count = 0;
+    for (int i = 0; i < 40; ++i) {
+      fixture.now_ += milliseconds(50);
+      count += fixture.election_.Next(fixture.now_).size();
+    }
+    return count;
+  };
+  CHECK(count_calls() == 0);
+  fixture.election_.OnStoreEntry(
+      {"orders/last", "a/1#1", StorePosition::Make(2, kLastRevision), 0, false},
+      fixture.now_);
+  CHECK(count_calls() == 1);
+}
+
 // Guards against a holder that is taken for a waiting one after it has sent
 // orders, so that each successor waits longer than necessary.
 TEST_CASE("A holder records that its wait is over", "[gateway]") {
--- a/modules/baobab_gateway/order_holder.h
+++ b/modules/baobab_gateway/order_holder.h
@@ -128,6 +128,10 @@
     election_.OnPeerHolder(token);
     ApplyDecisions();
   }
+  auto OnStoreEra(std::int64_t era) -> void {
+    election_.OnStoreEra(era, BootTime());
+    ApplyDecisions();
+  }
   auto OnStoreOutage(Duration from, Duration until) -> void {
     election_.OnStoreOutage(from, until);
   }
--- a/modules/baobab_gateway/order_lease_fleet_test.cc
+++ b/modules/baobab_gateway/order_lease_fleet_test.cc
@@ -168,7 +168,7 @@
 // against a token that goes back: the store returned from an older copy and
 // gave out its revisions again.
 TEST_CASE("Fencing tokens rise when the store returns from an older copy",
-          "[.known_red]") {
+          "[gateway]") {
   struct Case {
     const char* what_;
     std::size_t instances_;
@@ -287,7 +287,7 @@
 // The same with a store that returns from older copies: its revisions, which
 // are the fencing tokens, and its lease ids are given out again.
 TEST_CASE("Orders keep their order when the store returns from older copies",
-          "[.known_red]") {
+          "[gateway]") {
   for (std::uint64_t seed = 0; seed < 300; ++seed) {
     RunHistory(seed, /*restores=*/true);
   }
@@ -296,8 +296,9 @@
 // The same with more seeds; to be run by hand.
 TEST_CASE("Orders of two holders keep the handover interval, long",
           "[.][long]") {
+  const bool restores = GENERATE(false, true);
   for (std::uint64_t seed = 300; seed < 20'000; ++seed) {
-    RunHistory(seed);
+    RunHistory(seed, restores);
   }
 }
 
--- a/modules/baobab_gateway/simulated_lease_faults.cc
+++ b/modules/baobab_gateway/simulated_lease_faults.cc
@@ -60,24 +60,32 @@
       BeginStop(*machine);
       break;
     case Fault::kStoreDown:
-      ++store_outages_;
-      After(event.time_, [this, time = event.time_] {
-        --store_outages_;
-        if (!options_.leases_expire_in_outage_) {
-          store_.ExtendLeases(time);
-        }
-      });
+      BeginStoreOutage();
+      After(event.time_, [this] { EndStoreOutage(); });
       break;
     case Fault::kStoreRestored:
-      ++store_outages_;
+      BeginStoreOutage();
       After(event.time_, [this, copied_at = now_ - event.age_] {
-        --store_outages_;
         store_.Restore(copied_at, now_);
+        leases_paused_at_ = now_;  // those of the copy run anew
+        EndStoreOutage();
       });
       break;
   }
 }
 
+auto SimulatedLeaseFleet::BeginStoreOutage() -> void {
+  if (store_outages_++ == 0) {
+    leases_paused_at_ = now_;
+  }
+}
+
+auto SimulatedLeaseFleet::EndStoreOutage() -> void {
+  if (--store_outages_ == 0 && !options_.leases_expire_in_outage_) {
+    store_.ExtendLeases(now_ - leases_paused_at_);
+  }
+}
+
 auto SimulatedLeaseFleet::FindHolder(std::size_t fallback) const -> Machine* {
   for (const auto& machine : machines_) {
     if (machine->process_ && !machine->process_->stopping_ &&
--- a/modules/baobab_gateway/simulated_lease_fleet.cc
+++ b/modules/baobab_gateway/simulated_lease_fleet.cc
@@ -287,7 +287,8 @@
       return;
     }
     const auto result = execute(*this);
-    After(Latency(), [this, process, machine, on_result, result] {
+    const auto era = store_.era();
+    After(Latency(), [this, process, machine, on_result, result, era] {
       if (!IsStoreReachable(*machine) || Chance(options_.response_loss_)) {
         After(kCallTimeout, [this, process, on_result] {
           RunIn(process, [on_result](Process& to) {
@@ -296,7 +297,15 @@
         });
         return;
       }
-      RunIn(process, [this, on_result, result](Process& to) {
+      RunIn(process, [this, on_result, result, era](Process& to) {
+        if (era < to.store_era_) {
+          on_result(to, std::optional<Result>());
+          return;
+        }
+        if (era > to.store_era_) {
+          to.store_era_ = era;
+          to.election_.OnStoreEra(era, now_);
+        }
         to.last_response_ = SteadyNow(*to.machine_);
         on_result(to, std::optional<Result>(result));
       });
--- a/modules/baobab_gateway/simulated_lease_fleet.h
+++ b/modules/baobab_gateway/simulated_lease_fleet.h
@@ -158,7 +158,8 @@
     HolderElection election_;
     SuspensionDetector suspension_;
     TimePoint started_at_{};
-    TimePoint last_response_{};  // of the store
+    TimePoint last_response_{};   // of the store
+    std::int64_t store_era_ = 0;  // of that response
     std::int64_t revision_ = 0;
     std::set<std::string> known_keys_;  // of the store
     bool reading_ = false;
@@ -250,6 +251,10 @@
       -> void;
   auto CopyStore() -> void;
   auto Begin(const Event& event) -> void;
+  /// Outages may overlap; leases stand still from the first one to the end of
+  /// the last one, or expire.
+  auto BeginStoreOutage() -> void;
+  auto EndStoreOutage() -> void;
   /// Returns the connected instance that holds the lease; without one, instance
   /// `fallback`.
   [[nodiscard]] auto FindHolder(std::size_t fallback) const -> Machine*;
@@ -265,6 +270,7 @@
   std::map<std::string, Machine*> by_name_;
   SimulatedLeaseStore store_;
   int store_outages_ = 0;
+  Duration leases_paused_at_{};
   std::map<std::size_t, Target> targets_;
   int violation_count_ = 0;
   int shared_token_count_ = 0;
--- a/modules/baobab_gateway/simulated_lease_store.h
+++ b/modules/baobab_gateway/simulated_lease_store.h
@@ -10,11 +10,13 @@
 
 #include "baobab_base/time_types.h"
 #include "baobab_gateway/holder_lease.h"
+#include "baobab_gateway/store_position.h"
 #include "baobab_gateway/store_types.h"
 
 namespace baobab::gateway::test {
 
-/// A store with entries, revisions and leases under virtual time.
+/// A store with entries, revisions and leases under virtual time. Passes on and
+/// takes revisions as positions (see StorePosition), as PlatformStore does.
 class SimulatedLeaseStore {
  public:
   using CommitResult = std::variant<std::int64_t, StoreFailure>;
@@ -48,7 +50,7 @@
       const auto revision = found == entries_.end() || found->second.removed_
                                 ? 0
                                 : found->second.revision_;
-      if (revision != expected.revision_) {
+      if (revision != StorePosition::Revision(expected.revision_)) {
         return StoreFailure::kConflict;
       }
     }
@@ -65,7 +67,7 @@
     for (const auto& key : change.removals_) {
       entries_[key] = {key, "", revision_, 0, true};
     }
-    return revision_;
+    return StorePosition::Make(era_, revision_);
   }
 
   /// The result of a read.
@@ -77,20 +79,27 @@
     bool is_listing_ = false;
   };
 
-  /// Returns the entries that have changed since `revision`.
-  auto ChangesSince(std::int64_t revision, Duration now) -> Changes {
+  /// Returns the entries that have changed since `position`.
+  auto ChangesSince(std::int64_t position, Duration now) -> Changes {
     ExpireLeases(now);
+    const auto revision = StorePosition::Revision(position);
     Changes changes;
-    changes.is_listing_ = revision > revision_;
-    changes.revision_ = revision_;
+    changes.is_listing_ =
+        revision > revision_ || StorePosition::Era(position) != era_;
+    changes.revision_ = StorePosition::Make(era_, revision_);
     for (const auto& [key, entry] : entries_) {
       if (changes.is_listing_ ? !entry.removed_ : entry.revision_ > revision) {
         changes.entries_.push_back(entry);
+        changes.entries_.back().revision_ =
+            StorePosition::Make(era_, entry.revision_);
       }
     }
     return changes;
   }
 
+  /// Returns the era, which rises with each Restore().
+  [[nodiscard]] auto era() const -> std::int64_t { return era_; }
+
   /// Keeps a copy of the state, for Restore(). Copies are kept for
   /// kMaxCopyAge.
   auto TakeCopy(Duration now) -> void {
@@ -113,6 +122,7 @@
     leases_ = copy.leases_;
     last_lease_ = copy.last_lease_;
     revision_ = copy.revision_;
+    ++era_;
     for (auto& [id, expires_at] : leases_) {
       expires_at = now + HolderLease::kStoreLeaseTtl;
     }
@@ -151,6 +161,7 @@
   std::map<std::int64_t, Duration> leases_;
   std::int64_t last_lease_ = 0;
   std::int64_t revision_ = 10;
+  std::int64_t era_ = 1;
   std::deque<Copy> copies_;
 };
 
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -25,6 +25,7 @@
 #include "baobab_gateway/manifest.h"
 #include "baobab_gateway/read_schedule.h"
 #include "baobab_gateway/store_outage_detector.h"
+#include "baobab_gateway/store_position.h"
 #include "baobab_gateway/store_types.h"
 #include "baobab_gateway/target_registry.h"
 #include "baobab_platform/jittered_backoff.h"
@@ -45,11 +46,11 @@
 /// and the keys under `own_prefix`, which the entry instances write.
 ///
 /// Lists all entries at the start, and again if the store no longer keeps the
-/// changes since the last read. Between two listings, it reads the changes of
-/// all keys with one watch call at a time. Ignores a manifest with a lower
-/// version and a target registration with a lower revision than the known ones,
-/// whether they come from the store or from a peer. Runs on the thread of its
-/// io_context.
+/// changes since the last read or has returned from a copy. Between two
+/// listings, it reads the changes of all keys with one watch call at a time.
+/// Ignores a manifest with a lower version and a target registration with a
+/// lower revision than the known ones, whether they come from the store or from
+/// a peer. Runs on the thread of its io_context.
 template <class Store, StateDecoder Codec>
 class StateSync {
  public:
@@ -313,6 +314,11 @@
   }
 
   auto OnPage(const StoreListing& page) -> void {
+    if (list_revision_ != 0 && StorePosition::Era(page.revision_) !=
+                                   StorePosition::Era(list_revision_)) {
+      RequestPage("");
+      return;
+    }
     // The pages are not a consistent snapshot: entries may change between two
     // of them. The watch that follows starts at the revision of the first page
     // and therefore returns all changes since then.
@@ -326,7 +332,15 @@
       RequestPage(page.entries_.back().key_);
       return;
     }
-    const bool after_outage = RecordStoreResponse();
+    // A registration may also be missing because the store returned from a copy
+    // that is older than it.
+    const bool is_restored =
+        revision_ != 0 &&
+        StorePosition::Era(list_revision_) != StorePosition::Era(revision_);
+    const bool after_outage = RecordStoreResponse() || is_restored;
+    if (is_restored) {
+      grace_period_end_ = Now() + TargetRegistry::kExpiryGracePeriod;
+    }
     registry_.Reconcile(listed_targets_, list_revision_, after_outage, Now());
     std::erase_if(raw_targets_, [this](const auto& entry) {
       return registry_.Find(entry.first) == nullptr;
@@ -377,6 +391,12 @@
         return;
       }
       const auto& listing = std::get<StoreListing>(result);
+      if (StorePosition::Era(listing.revision_) !=
+          StorePosition::Era(revision_)) {
+        // The revision after which changes were asked for is of another era.
+        RequestPage("");
+        return;
+      }
       if (RecordStoreResponse()) {
         grace_period_end_ = Now() + TargetRegistry::kExpiryGracePeriod;
       }
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -196,6 +196,50 @@
   CHECK(fixture.own_.back().removed_);
 }
 
+// Guards against an instance that misses changes because the store returned
+// from a copy and gave out their revisions again, and against live targets that
+// it drops because they registered after the copy.
+TEST_CASE("All entries are listed again when the store returns from a copy",
+          "[gateway]") {
+  const auto position = [](std::int64_t revision) {
+    return StorePosition::Make(2, revision);
+  };
+  const bool within_listing = GENERATE(false, true);
+  Fixture fixture;
+  fixture.List({{"config", "5", 10, 0, false},
+                {"targets/a", "ready", 11, 0, false},
+                {"targets/b", "leaving", 12, 0, false},
+                {"own/x", "1", 13, 7, false}},
+               20);
+  if (within_listing) {
+    std::exchange(fixture.store_.watch_, nullptr)(StoreFailure::kCompacted);
+    std::exchange(fixture.store_.range_, nullptr)(
+        StoreListing{{{"targets/a", "ready", 11, 0, false}}, true, 21});
+    fixture.List({}, position(14));
+  } else {
+    fixture.Change({{"targets/c", "ready", position(21), 0, false}},
+                   position(21));
+  }
+  REQUIRE(fixture.store_.range_);
+  fixture.List({{"config", "4", position(8), 0, false},
+                {"targets/b", "ready", position(9), 0, false},
+                {"targets/d", "ready", position(14), 0, false}},
+               position(21));
+  const auto& registry = fixture.sync_.registry();
+  CHECK(fixture.version_ == 5);
+  REQUIRE(registry.Find("a") != nullptr);
+  CHECK(registry.Find("a")->expires_at_);
+  CHECK(registry.Find("b") != nullptr);
+  CHECK(registry.Find("d") != nullptr);
+  CHECK(fixture.own_.back().removed_);
+  CHECK(fixture.store_.watched_after_ == position(21));
+  // A change that the earlier era would have counted as old.
+  fixture.Change({{"targets/d", "leaving", position(15), 0, false}},
+                 position(22));
+  CHECK(registry.Find("d")->registration_.draining_);
+  CHECK(fixture.sync_.routing_revision() >= position(15));
+}
+
 // Guards against treating a single failed store call as an outage: a removed
 // target then stayed in use for the grace period of an outage, in one run 3.5 s
 // after it left.
--- a/modules/baobab_gateway/store_types.h
+++ b/modules/baobab_gateway/store_types.h
@@ -11,7 +11,8 @@
 
 namespace baobab::gateway {
 
-/// A key-value pair of the store, or the removal of one.
+/// A key-value pair of the store, or the removal of one. All revisions in these
+/// types are positions (see StorePosition).
 struct StoreEntry {
   std::string key_;
   std::string value_;
