--- a/modules/baobab_gateway/holder_election.cc
+++ b/modules/baobab_gateway/holder_election.cc
@@ -256,6 +256,11 @@
   lease_.Acquire(revision, prior_holder_, grant_sent_, now);
   last_token_ = revision;
   acquired_at_ = now;
+  if (prior_holder_ == HolderLease::PriorHolder::kOwn &&
+      former_.owner_id_ != settings_.owner_id_) {
+    predecessor_orders_until_ =
+        now + settings_.handover_interval_ + settings_.handover_margin_;
+  }
   std::erase_if(blocked_until_,
                 [now](const auto& blocked) { return blocked.second <= now; });
   was_expired_ = false;
@@ -384,7 +389,10 @@
     at = std::max(at, until - blocking_time);
   }
   HandoverReport report{
-      settings_.owner_id_, last_token_, lease_.RemainingWait(now), {}};
+      settings_.owner_id_,
+      last_token_,
+      std::max(lease_.RemainingWait(now), predecessor_orders_until_ - now),
+      {}};
   for (const auto& [target, at] : latest) {
     if (now - at < blocking_time) {
       report.recent_orders_.emplace_back(target, now - at);
--- a/modules/baobab_gateway/holder_election.h
+++ b/modules/baobab_gateway/holder_election.h
@@ -62,8 +62,8 @@
   std::string owner_id_;
   /// Fencing token of the last term that the process knows of; 0: none.
   std::int64_t last_token_ = 0;
-  /// Rest of the time for which the process itself would have to wait for the
-  /// holders before it.
+  /// Rest of the time for which a successor has to wait for the holders before
+  /// this process, including earlier processes of its instance.
   Duration wait_{};
   /// Targets to which the process or one before it recently sent orders, each
   /// with the time since then.
@@ -289,6 +289,9 @@
   // Time until which a target gets no order, since the former holder sent it
   // one recently.
   std::map<std::string, Duration> blocked_until_;
+  // Time until which orders of an earlier process of this instance may be
+  // recent.
+  Duration predecessor_orders_until_{};
   std::optional<Duration> acquire_at_;
   HolderLease::PriorHolder prior_holder_ = HolderLease::PriorHolder::kUnknown;
   std::int64_t store_era_ = 0;
--- a/modules/baobab_gateway/holder_election_test.cc
+++ b/modules/baobab_gateway/holder_election_test.cc
@@ -343,6 +343,34 @@
   CHECK(count_calls() == 1);
 }
 
+// Guards against a successor that sends orders too soon after those of a
+// process that ended: the next process of the same instance took over without a
+// wait, stopped, and reported that it had sent none.
+TEST_CASE("A restarted holder reports a wait for its predecessor's orders",
+          "[gateway]") {
+  struct Case {
+    std::string last_holder_;
+    bool reports_wait_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"b/0", true},          // an earlier process of this instance
+      {"releaseda/1", false}  // its own wait for "a" is over
+  }));
+  INFO(test.last_holder_);
+  ElectionFixture fixture(test.last_holder_);
+  fixture.Acquire();
+  if (!test.reports_wait_) {
+    fixture.Pass(kHandoverInterval);
+  }
+  fixture.election_.Stop();
+  const auto report = fixture.election_.MakeHandoverReport(fixture.now_);
+  CHECK((report.wait_ >= kHandoverInterval) == test.reports_wait_);
+  CHECK(report.recent_orders_.empty());
+  const auto later =
+      fixture.election_.MakeHandoverReport(fixture.now_ + seconds(4));
+  CHECK(later.wait_ == Duration::zero());
+}
+
 // Guards against a holder that is taken for a waiting one after it has sent
 // orders, so that each successor waits longer than necessary.
 TEST_CASE("A holder records that its wait is over", "[gateway]") {
--- a/modules/baobab_gateway/order_lease_fleet_test.cc
+++ b/modules/baobab_gateway/order_lease_fleet_test.cc
@@ -284,6 +284,13 @@
   }
 }
 
+// Guards against a third holder that trusts a process that took over from its
+// predecessor on the same instance and stopped at once.
+TEST_CASE("A restarted holder that stops at once hides no orders",
+          "[gateway]") {
+  RunHistory(8349);
+}
+
 // The same with a store that returns from older copies: its revisions, which
 // are the fencing tokens, and its lease ids are given out again.
 TEST_CASE("Orders keep their order when the store returns from older copies",
