--- a/modules/baobab_gateway/active_request.h
+++ b/modules/baobab_gateway/active_request.h
@@ -25,8 +25,9 @@
   WorkItem item_;
   std::shared_ptr<TargetExchange> attempt_;
   std::string target_;
-  TargetEndpoint endpoint_;    // of the target
-  int accepted_attempts_ = 0;  // received and not rejected by a target
+  std::string target_version_;  // of its software
+  TargetEndpoint endpoint_;     // of the target
+  int accepted_attempts_ = 0;   // received and not rejected by a target
   int attempts_ = 0;
   int refusals_ = 0;  // rejections by targets at capacity
   bool may_have_run_ = false;
--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -155,6 +155,9 @@
   if (auto rejection = RejectPoison(item, now)) {
     return rejection;
   }
+  if (auto rejection = RejectWithoutVersion(item)) {
+    return rejection;
+  }
   const auto opening = EarliestOpening(item, now);
   const auto required = MinRequiredTime(item);
   if (opening > now && !OverloadPolicy::IsUseful(item, required, opening)) {
@@ -163,7 +166,8 @@
   const auto wait = PredictedWait(item, now);
   if (wait && now + *wait + required.total_ > item.deadline_) {
     return Rejection{item.id_, "queue_too_long",
-                     overload_.RetryAfter(item, *wait, now)};
+                     overload_.RetryAfter(item, *wait, now), *wait,
+                     required.total_};
   }
   const auto id = item.id_;
   auto prefix_hashes = PrefixHashes(item.generation_);
@@ -181,6 +185,28 @@
                    std::max(verdict->remaining_, kMinRetryAfter)};
 }
 
+auto Dispatcher::RejectWithoutVersion(const WorkItem& item) const
+    -> std::optional<Rejection> {
+  if (!item.version_ || IsLoadedAtAnyTarget(item)) {
+    return std::nullopt;
+  }
+  auto base = item;
+  base.generation_.adapter_.clear();
+  const char* reason =
+      IsLoadedAtAnyTarget(base) ? "version_lacks_adapter"
+      : std::any_of(targets_.begin(), targets_.end(),
+                    [&item](const auto& entry) {
+                      const auto& target = entry.second;
+                      return target.registered_ &&
+                             target.registration_.service_ == item.service_ &&
+                             target.registration_.software_version_ ==
+                                 *item.version_;
+                    })
+          ? "version_lacks_model"
+          : "version_gone";
+  return Rejection{item.id_, reason, kMinRetryAfter};
+}
+
 auto Dispatcher::FindConvicted(TimePoint now) const -> std::vector<WorkId> {
   std::vector<WorkId> convicted;
   for (const auto& [id, sent] : sent_) {
@@ -232,13 +258,14 @@
     const auto requirement =
         std::tuple(item.service_, generation.model_, generation.adapter_);
     const auto smallest_failed = no_capacity.find(requirement);
-    if (item.excluded_.empty() && smallest_failed != no_capacity.end() &&
+    const bool may_use_any = item.excluded_.empty() && !item.version_;
+    if (may_use_any && smallest_failed != no_capacity.end() &&
         smallest_failed->second <= RequiredCacheTokens(generation)) {
       continue;
     }
     const auto choice = Choose(*entry.request_, now);
     if (choice.target_ == nullptr) {
-      if (item.excluded_.empty()) {
+      if (may_use_any) {
         const auto tokens = RequiredCacheTokens(generation);
         const auto [known, is_new] = no_capacity.emplace(requirement, tokens);
         known->second = std::min(known->second, tokens);
@@ -336,6 +363,10 @@
       rejections.push_back(std::move(*rejection));
       continue;
     }
+    if (auto rejection = RejectWithoutVersion(item)) {
+      rejections.push_back(std::move(*rejection));
+      continue;
+    }
     const auto required = MinRequiredTime(item);
     if (!OverloadPolicy::IsUseful(item, required, now)) {
       rejections.push_back({id, "too_late_to_start", kMinRetryAfter});
@@ -518,7 +549,7 @@
   auto earliest = TimePoint::max();
   for (const auto* target : TargetsFor(item)) {
     if (item.excluded_.count(target->registration_.id_) == 0 &&
-        HasModelAndAdapter(*target, item)) {
+        CanServe(*target, item)) {
       earliest = std::min(earliest, target->full_until_);
     }
   }
@@ -584,7 +615,8 @@
     const auto& item = waiting.item_;
     const auto& generation = item.generation_;
     const std::pair adapter(generation.model_, generation.adapter_);
-    if (generation.adapter_.empty() || loaded_adapters.count(adapter) > 0) {
+    if (generation.adapter_.empty() || item.version_ ||
+        loaded_adapters.count(adapter) > 0) {
       continue;
     }
     const auto known =
@@ -607,10 +639,9 @@
 
 auto Dispatcher::IsLoadedAtAnyTarget(const WorkItem& item) const -> bool {
   const auto& targets = TargetsFor(item);
-  return std::any_of(targets.begin(), targets.end(),
-                     [this, &item](const Target* target) {
-                       return HasModelAndAdapter(*target, item);
-                     });
+  return std::any_of(
+      targets.begin(), targets.end(),
+      [this, &item](const Target* target) { return CanServe(*target, item); });
 }
 
 auto Dispatcher::DemandByModel(TimePoint now) -> std::map<std::string, double> {
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -140,7 +140,9 @@
 struct Rejection {
   WorkId id_ = 0;
   std::string reason_;
-  Duration retry_after_{};  ///< Minimum useful delay before a retry.
+  Duration retry_after_{};    ///< Minimum useful delay before a retry.
+  Duration expected_wait_{};  ///< If that is the reason.
+  Duration required_time_{};  ///< From the start to the end of the response.
 };
 
 /// An adapter that waiting requests need and no target has loaded.
@@ -425,8 +427,14 @@
                                    const CacheSource& source,
                                    double time_factor, bool& fetches) const
       -> Duration;
-  [[nodiscard]] auto HasModelAndAdapter(const Target& target,
-                                        const WorkItem& item) const -> bool;
+  /// Returns true if the target has loaded the model and adapter of `item` and
+  /// has the software version that it needs.
+  [[nodiscard]] auto CanServe(const Target& target, const WorkItem& item) const
+      -> bool;
+  /// Returns a rejection if `item` needs a software version and no target of
+  /// that version can serve it. Loading its model elsewhere would not help.
+  [[nodiscard]] auto RejectWithoutVersion(const WorkItem& item) const
+      -> std::optional<Rejection>;
   /// Returns true if any registered target that is not leaving has loaded the
   /// model and adapter of `item`.
   [[nodiscard]] auto IsLoadedAtAnyTarget(const WorkItem& item) const -> bool;
--- a/modules/baobab_gateway/dispatcher_choice.cc
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -31,8 +31,12 @@
 
 }  // namespace
 
-auto Dispatcher::HasModelAndAdapter(const Target& target,
-                                    const WorkItem& item) const -> bool {
+auto Dispatcher::CanServe(const Target& target, const WorkItem& item) const
+    -> bool {
+  if (item.version_ &&
+      target.registration_.software_version_ != *item.version_) {
+    return false;
+  }
   const auto& generation = item.generation_;
   if (generation.model_.empty()) {
     return true;
@@ -118,8 +122,13 @@
     return {};
   }
   const auto prefill = OwnPrefillTime(item);
-  return {prefill, prefill + prefill_speed_.StepTime(generation.model_, 1) *
-                                 ExpectedOutputTokens(generation)};
+  const auto step = prefill_speed_.StepTime(generation.model_, 1);
+  if (item.resumed_) {
+    // Its caller would have kept it until the deadline, whatever the estimate
+    // of its length.
+    return {prefill, prefill + step};
+  }
+  return {prefill, prefill + step * ExpectedOutputTokens(generation)};
 }
 
 auto Dispatcher::CachedTokens(const Target& target,
@@ -146,7 +155,7 @@
   std::vector<Candidate> candidates;
   for (auto* target : TargetsFor(item)) {
     if (item.excluded_.count(target->registration_.id_) == 0 &&
-        HasModelAndAdapter(*target, item)) {
+        CanServe(*target, item)) {
       candidates.push_back({target});
     }
   }
@@ -358,8 +367,13 @@
   double in_progress = 0;  // requests like `item`, at the targets
   double capacity = 0;     // of such requests
   int target_count = 0;
+  int model_count = 0;  // targets of any software version
   for (const auto* target : TargetsFor(item)) {
-    if (!target->health_.IsUsable(now) || !HasModelAndAdapter(*target, item)) {
+    if (!target->health_.IsUsable(now)) {
+      continue;
+    }
+    ++model_count;
+    if (!CanServe(*target, item)) {
       continue;
     }
     const auto load = LoadAt(target->registration_.id_, now);
@@ -377,17 +391,25 @@
   if (target_count == 0) {
     return std::nullopt;
   }
+  // Requests without a required version also go to targets of other versions.
+  const auto version_share =
+      item.version_ ? static_cast<double>(target_count) / model_count : 1;
   double ahead = 0;  // requests in the queue that are sent before `item`
   for (const auto& [id, entry] : queue_) {
     const auto& waiting = entry.item_;
     if (waiting.generation_.model_ == item.generation_.model_ &&
         waiting.service_ == item.service_ &&
-        waiting.objective_at_ <= item.objective_at_) {
+        waiting.objective_at_ <= item.objective_at_ &&
+        (!waiting.version_ || !item.version_ ||
+         waiting.version_ == item.version_)) {
       // About half of a prompt is shared with other prompts and is mostly
       // cached at the target.
-      prefill += prefill_speed_.PrefillTime(
-          waiting.generation_.model_, waiting.generation_.prompt_tokens_ / 2);
-      ++ahead;
+      const auto share = waiting.version_ ? 1 : version_share;
+      prefill += Scaled(
+          prefill_speed_.PrefillTime(waiting.generation_.model_,
+                                     waiting.generation_.prompt_tokens_ / 2),
+          share);
+      ahead += share;
     }
   }
   if (item.generation_.model_.empty()) {
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -34,6 +34,7 @@
 #include "baobab_gateway/request_gateway.h"
 #include "baobab_gateway/state_sync.h"
 #include "baobab_gateway/stop_sequence.h"
+#include "baobab_gateway/stream_journal.h"
 #include "baobab_gateway/suspension_detector.h"
 #include "baobab_http/http_server.h"
 #include "baobab_targets/whole_exchange.h"
@@ -91,6 +92,15 @@
   static constexpr const char* kStorePrefix = "baobab/";
   static constexpr const char* kInstancesPrefix = "baobab/instances/";
   static constexpr const char* kOrderHolderKey = "baobab/orders";
+  /// Prefix of the records of software versions (see SoftwareVersions).
+  static constexpr const char* kVersionsPrefix = "baobab/versions/";
+  /// Prefix of the origins of streams (see StreamJournal).
+  static constexpr const char* kStreamsPrefix = "baobab/streams/";
+  /// Time after a record of a software version was found missing at which a
+  /// coordinator that is not the lease holder writes it.
+  static constexpr Duration kVersionRecordDelay = std::chrono::seconds(2);
+  /// Age of a process up to which its peers tell it of all streams again.
+  static constexpr Duration kYoungProcess = std::chrono::seconds(2);
 
   EntryInstance(boost::asio::io_context& io, InstanceSettings settings)
       : io_(io),
@@ -137,6 +147,9 @@
              [this](const accounts::CapDemand& demand) { OnCapDemand(demand); },
              [this](const accounts::CapGrants& grants) {
                gateway_.OnCapGrants(grants);
+             },
+             [this](const StreamOriginUpdate& update) {
+               gateway_.origins().Learn(update, Now());
              }}),
         report_timer_(io),
         evidence_timer_(io),
@@ -328,6 +341,25 @@
   /// Sends the demand of this instance to the broker of caps, if one is due.
   auto SendCapDemand() -> void;
 
+  /// Tells peers which software versions began recent streams, if a service has
+  /// several, and writes the records of these versions to the store.
+  auto ShareStreamOrigins(TimePoint now) -> void;
+
+  /// Tells a process that has just started of all streams.
+  auto OnYoungPeer(const PeerReport& report, TimePoint now) -> void;
+
+  auto WriteVersionRecords(std::vector<SoftwareVersion> versions) -> void;
+
+  /// Writes the origins of recent streams to the store if that is due.
+  auto WriteStreamJournal(const std::set<std::string>& mixed, TimePoint now)
+      -> void;
+
+  auto CommitStreamJournal(const StreamJournal::Write& write) -> void;
+
+  /// Applies an entry with a record of a software version or with origins of
+  /// streams. Returns false if it is neither.
+  auto ApplyStreamEntry(const StoreEntry& entry) -> bool;
+
   auto UpdateCapBroker() -> void;
 
   /// Applies the parts of a report that a digest has as well.
@@ -493,6 +525,12 @@
   std::set<std::string> digest_entries_;  // entry instances in the last digest
   std::int64_t digest_routing_revision_ = 0;
   accounts::EvidenceEcho echo_;
+  std::map<std::string, std::int64_t> told_peers_;  // incarnation by name
+  std::optional<TimePoint> records_missing_since_;
+  bool writes_records_ = false;
+  StreamJournal stream_journal_;
+  std::int64_t journal_lease_ = 0;
+  TimePoint journal_lease_granted_at_{};
   AdapterRequesters requesters_;  // used by the order lease holder
 };
 
@@ -503,3 +541,4 @@
 #include "baobab_gateway/entry_instance_keys.h"
 #include "baobab_gateway/entry_instance_reports.h"
 #include "baobab_gateway/entry_instance_state.h"
+#include "baobab_gateway/entry_instance_streams.h"
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -13,6 +13,7 @@
       !directory_.RecordReport(report, now)) {
     return;
   }
+  OnYoungPeer(report, now);
   auto& dispatcher = gateway_.dispatcher();
   dispatcher.OnPeerLoad(report.instance_, report.load_, now);
   for (const auto& change : report.changes_) {
@@ -404,6 +405,7 @@
   }
   SendDigestIfDue(report, now);
   SendCapDemand();
+  ShareStreamOrigins(now);
   if (now - evidence_sent_at_ >= ReportIntervals::kEvidenceRepeat) {
     SendEvidence();
   }
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -20,6 +20,7 @@
     return;
   }
   metrics_.Add("gateway_store_restores_total", "");
+  journal_lease_ = 0;
   // The id of its lease may be given out again.
   if (std::exchange(registration_lease_, 0) != 0) {
     ScheduleRegistration(Duration::zero());
@@ -29,6 +30,9 @@
 template <class Platform>
 auto EntryInstance<Platform>::OnOwnEntry(const StoreEntry& entry) -> void {
   holder_.OnStoreEntry(entry);
+  if (ApplyStreamEntry(entry)) {
+    return;
+  }
   const std::string prefix = kInstancesPrefix;
   if (!entry.key_.starts_with(prefix)) {
     return;
--- a/modules/baobab_gateway/ingress_types.h
+++ b/modules/baobab_gateway/ingress_types.h
@@ -22,6 +22,9 @@
   std::optional<Generation> generation_;
   /// Id of the event after which the caller resumes a stream; -1: none.
   std::int64_t last_event_id_ = -1;
+  /// Id of the caller's attempt that brought the first event of that stream;
+  /// empty if the caller does not name it.
+  std::string resumed_stream_;
   /// Key of the caller's account; empty without one. Secret: it is neither
   /// forwarded nor logged. A key that no account can hold (sent twice,
   /// overlong) is decoded as `has_invalid_key_`.
--- a/modules/baobab_gateway/peer_link.cc
+++ b/modules/baobab_gateway/peer_link.cc
@@ -81,6 +81,9 @@
     } else if (const auto grants = DecodeCapGrants(bytes);
                grants && handlers_.on_cap_grants_) {
       handlers_.on_cap_grants_(*grants);
+    } else if (const auto origins = DecodeStreamOrigins(bytes);
+               origins && handlers_.on_stream_origins_) {
+      handlers_.on_stream_origins_(*origins);
     } else {
       ++unreadable_datagrams_;
       LogEvent(LogLevel::kWarning, "peer_report_unreadable")
--- a/modules/baobab_gateway/peer_link.h
+++ b/modules/baobab_gateway/peer_link.h
@@ -13,6 +13,7 @@
 #include "baobab_gateway/crash_evidence.h"
 #include "baobab_gateway/fleet_digest.h"
 #include "baobab_gateway/peer_report.h"
+#include "baobab_gateway/stream_origins.h"
 
 namespace baobab::gateway {
 
@@ -30,6 +31,7 @@
     std::function<void(const CrashEvidence&)> on_crash_evidence_;
     std::function<void(const accounts::CapDemand&)> on_cap_demand_;
     std::function<void(const accounts::CapGrants&)> on_cap_grants_;
+    std::function<void(const StreamOriginUpdate&)> on_stream_origins_;
   };
 
   /// Binds a UDP socket to `address`:`port` and starts to receive. `port` is
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -34,6 +34,8 @@
 #include "baobab_gateway/key_gate.h"
 #include "baobab_gateway/retry_ledger.h"
 #include "baobab_gateway/route_table.h"
+#include "baobab_gateway/software_versions.h"
+#include "baobab_gateway/stream_origins.h"
 #include "baobab_http/http_server.h"
 #include "baobab_targets/connection_pool.h"
 #include "baobab_targets/target_exchange.h"
@@ -121,6 +123,7 @@
   /// Keeps a reference to `registry`.
   auto SetTargets(const TargetRegistry& registry) -> void {
     registry_ = &registry;
+    versions_.SetTargets(registry, Now());
     dispatcher_.SetTargets(registry, Now());
     ReleaseDeferredRequests(Now());
     Dispatch();
@@ -209,6 +212,11 @@
   /// that no target can serve in time.
   auto Dispatch() -> void;
 
+  /// Returns what is known of the software versions of services, and of the
+  /// streams that they began, to exchange it with the store and with peers.
+  [[nodiscard]] auto versions() -> SoftwareVersions& { return versions_; }
+  [[nodiscard]] auto origins() -> StreamOrigins& { return origins_; }
+
   /// Sets the handler that is called after each dispatch decision that leaves
   /// requests queued: they may need an adapter that the lease holder has to
   /// load.
@@ -281,6 +289,11 @@
   auto Admit(ExchangeId exchange, HttpRequest&& request,
              IngressRequest&& decoded, TimePoint arrived) -> void;
 
+  /// If the caller resumes a stream, selects the service and the software
+  /// version that began it. Rejects the request and returns false if they are
+  /// unknown, unless there is one version only.
+  auto ResolveOrigin(ActiveRequest& active) -> bool;
+
   /// Queues a request at the dispatcher and dispatches.
   auto Enqueue(const WorkItem& item, TimePoint now) -> void;
 
@@ -339,6 +352,10 @@
 
   auto OnData(WorkId id, std::string_view data) -> void;
 
+  /// Records which software version delivers the stream of `active`, so that no
+  /// other one goes on with it.
+  auto RecordOrigin(ActiveRequest& active, TimePoint now) -> void;
+
   auto OnEnd(WorkId id) -> void;
 
   /// Ends the attempt of a response that exceeds its share of the memory for
@@ -478,6 +495,8 @@
   RouteTable routes_;
   const TargetRegistry* registry_ = nullptr;
   Dispatcher dispatcher_;
+  SoftwareVersions versions_;
+  StreamOrigins origins_;
   RetryLedger retries_;
   BufferBudget buffers_;
   Random random_;
--- a/modules/baobab_gateway/request_gateway_admission.h
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -212,6 +212,9 @@
   if (decision.account_ && key_gate_.NeedsRenewal(ingress.received_at_)) {
     RequestKeyRead();
   }
+  if (!ResolveOrigin(active)) {
+    return;
+  }
   if (decision.account_ &&
       !AdmitWithinCap(request, active, decision.account_->name_, arrived)) {
     return;
@@ -222,8 +225,10 @@
   active.events_ = EventStream(ingress.last_event_id_);
   auto& item = active.item_;
   item.id_ = ++last_id_;
-  std::uniform_real_distribution<double> draw(0, 1);
-  item.service_ = PickService(route, draw(random_));
+  if (item.service_.empty()) {
+    std::uniform_real_distribution<double> draw(0, 1);
+    item.service_ = PickService(route, draw(random_));
+  }
   if (ingress.generation_) {
     item.generation_ = *ingress.generation_;
   }
@@ -250,6 +255,50 @@
   Enqueue(copy, now);
 }
 
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::ResolveOrigin(ActiveRequest& active) -> bool {
+  const auto& ingress = active.ingress_;
+  const auto& route = *active.route_;
+  if (route.kind_ != RequestKind::kStream || ingress.last_event_id_ < 0) {
+    return true;
+  }
+  const auto now = Now();
+  auto& item = active.item_;
+  item.resumed_ = true;
+  const char* source = "record";
+  const char* obstacle = nullptr;
+  if (const auto* origin = origins_.Find(ingress.resumed_stream_, now)) {
+    item.service_ = origin->service_;
+    item.version_ = origin->version_;
+    const bool is_allowed = std::any_of(
+        route.services_.begin(), route.services_.end(),
+        [origin](const auto& part) {
+          return part.weight_ > 0 && part.service_ == origin->service_;
+        });
+    obstacle = is_allowed ? nullptr : "stream_service_gone";
+  } else {
+    std::uniform_real_distribution<double> draw(0, 1);
+    item.service_ = PickService(route, draw(random_));
+    item.version_ = versions_.OnlyVersion(item.service_, now);
+    source = "only_version";
+    obstacle = item.version_ ? nullptr : "stream_origin_unknown";
+  }
+  LogEvent(LogLevel::kInfo, "stream_resumed")
+      .With("id", ingress.id_)
+      .With("stream", ingress.resumed_stream_)
+      .With("after_event", ingress.last_event_id_)
+      .With("service", item.service_)
+      .With("version", item.version_.value_or(""))
+      .With("source", obstacle == nullptr ? source : obstacle);
+  metrics_.Add("gateway_resumed_streams_total",
+               Label("source", obstacle == nullptr ? source : obstacle));
+  if (obstacle != nullptr) {
+    Refuse(active.exchange_, ingress.id_, RefusalReason::kNotRun, obstacle,
+           kDefaultRetryAfter);
+  }
+  return obstacle == nullptr;
+}
+
 template <RequestTranslator Codec>
 auto RequestGateway<Codec>::Enqueue(const WorkItem& item, TimePoint now)
     -> void {
@@ -291,6 +340,8 @@
       .With("priority", active.item_.priority_)
       .With("waited_ms", Milliseconds(now - active.item_.arrived_))
       .With("retry_after_ms", Milliseconds(rejection.retry_after_))
+      .With("expected_wait_ms", Milliseconds(rejection.expected_wait_))
+      .With("required_ms", Milliseconds(rejection.required_time_))
       .With("left_ms", Milliseconds(active.item_.deadline_ - now));
   metrics_.Add("gateway_told_to_return_total",
                Label("reason", rejection.reason_) + "," +
--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -63,6 +63,7 @@
     Guard(id, "failure", [&] { OnFailure(id, failure); });
   };
   active.target_ = assignment.target_;
+  active.target_version_ = entry->registration_.software_version_;
   active.endpoint_ = options.endpoint_;
   active.head_.reset();
   active.is_event_stream_ = false;
@@ -179,6 +180,7 @@
   active.last_event_at_ = now;
   if (!active.response_started_) {
     active.response_started_ = true;
+    RecordOrigin(active, now);
     active.first_event_ = now - active.item_.arrived_;
     metrics_.Record("gateway_first_event_seconds",
                     Label("route", active.route_->name_), active.first_event_);
@@ -191,6 +193,19 @@
   server_.Write(active.exchange_, events);
 }
 
+template <RequestTranslator Codec>
+auto RequestGateway<Codec>::RecordOrigin(ActiveRequest& active, TimePoint now)
+    -> void {
+  active.item_.version_ = active.target_version_;
+  const auto& ingress = active.ingress_;
+  const auto& stream =
+      ingress.last_event_id_ < 0 ? ingress.id_ : ingress.resumed_stream_;
+  if (!stream.empty()) {
+    origins_.Record(stream, {active.item_.service_, active.target_version_},
+                    now);
+  }
+}
+
 template <RequestTranslator Codec>
 auto RequestGateway<Codec>::OnResponseTooLarge(WorkId id) -> void {
   auto& active = active_.at(id);
@@ -422,7 +437,7 @@
   if (exclude_target) {
     active.item_.excluded_.insert(active.target_);
   }
-  active.item_.resumed_ = active.response_started_;
+  active.item_.resumed_ = active.item_.resumed_ || active.response_started_;
   if (active.response_started_ &&
       active.route_->abandon_after_ > Duration::zero()) {
     active.item_.first_event_by_ =
--- a/modules/baobab_gateway/target_registration.h
+++ b/modules/baobab_gateway/target_registration.h
@@ -25,6 +25,9 @@
   std::string service_;
   TargetEndpoint endpoint_;
   std::string zone_;
+  /// Version of its software, not of the weights. Streams go on only at targets
+  /// of the version that began them.
+  std::string software_version_;
   std::size_t slots_ = 1;
   bool draining_ = false;  ///< Takes no new requests and will exit.
   /// Time until the target exits, if it exits at short notice.
--- a/modules/baobab_gateway/work_item.h
+++ b/modules/baobab_gateway/work_item.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstdio>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -100,7 +101,10 @@
   /// continued if it is a resumed one.
   TimePoint first_event_by_ = TimePoint::max();
   std::set<std::string> excluded_;  ///< Targets that failed this request.
-  bool resumed_ = false;  ///< Part of the response was already delivered.
+  /// Part of the response was already delivered, maybe by another instance.
+  bool resumed_ = false;
+  /// Software version that a target must have to go on with the stream.
+  std::optional<std::string> version_;
 };
 
 }  // namespace baobab::gateway
