--- a/modules/baobab_gateway/dispatcher.cc
+++ b/modules/baobab_gateway/dispatcher.cc
@@ -30,6 +30,12 @@
   return item.generation_.model_.empty() && 2 * running >= slots;
 }
 
+/// Returns `item` as one that targets of any software version may serve.
+auto WithoutVersion(WorkItem item) -> WorkItem {
+  item.version_.reset();
+  return item;
+}
+
 }  // namespace
 
 auto Dispatcher::SetManifest(const Manifest& manifest) -> void {
@@ -190,21 +196,22 @@
   if (!item.version_ || IsLoadedAtAnyTarget(item)) {
     return std::nullopt;
   }
-  auto base = item;
-  base.generation_.adapter_.clear();
-  const char* reason =
-      IsLoadedAtAnyTarget(base) ? "version_lacks_adapter"
-      : std::any_of(targets_.begin(), targets_.end(),
-                    [&item](const auto& entry) {
-                      const auto& target = entry.second;
-                      return target.registered_ &&
-                             target.registration_.service_ == item.service_ &&
-                             target.registration_.software_version_ ==
-                                 *item.version_;
-                    })
-          ? "version_lacks_model"
-          : "version_gone";
-  return Rejection{item.id_, reason, kMinRetryAfter};
+  const bool is_gone = std::none_of(
+      targets_.begin(), targets_.end(), [&item](const auto& entry) {
+        const auto& target = entry.second;
+        return target.registered_ &&
+               target.registration_.service_ == item.service_ &&
+               target.registration_.software_version_ == *item.version_;
+      });
+  if (is_gone) {
+    return Rejection{item.id_, "version_gone", kMinRetryAfter};
+  }
+  // While no target at all has the model and adapter, one may be about to load
+  // them.
+  if (!IsLoadedAtAnyTarget(WithoutVersion(item))) {
+    return std::nullopt;
+  }
+  return Rejection{item.id_, "version_lacks_model", kMinRetryAfter};
 }
 
 auto Dispatcher::FindConvicted(TimePoint now) const -> std::vector<WorkId> {
@@ -615,8 +622,7 @@
     const auto& item = waiting.item_;
     const auto& generation = item.generation_;
     const std::pair adapter(generation.model_, generation.adapter_);
-    if (generation.adapter_.empty() || item.version_ ||
-        loaded_adapters.count(adapter) > 0) {
+    if (generation.adapter_.empty() || loaded_adapters.count(adapter) > 0) {
       continue;
     }
     const auto known =
@@ -627,7 +633,7 @@
                      });
     if (known != missing_adapters.end()) {
       ++known->waiting_;
-    } else if (IsLoadedAtAnyTarget(item)) {
+    } else if (IsLoadedAtAnyTarget(WithoutVersion(item))) {
       loaded_adapters.insert(adapter);
     } else {
       missing_adapters.push_back(
--- a/modules/baobab_gateway/dispatcher.h
+++ b/modules/baobab_gateway/dispatcher.h
@@ -431,8 +431,9 @@
   /// has the software version that it needs.
   [[nodiscard]] auto CanServe(const Target& target, const WorkItem& item) const
       -> bool;
-  /// Returns a rejection if `item` needs a software version and no target of
-  /// that version can serve it. Loading its model elsewhere would not help.
+  /// Returns a rejection if `item` needs a software version of which no target
+  /// is left, or whose targets lack its model or adapter while others have it:
+  /// nobody would load it there.
   [[nodiscard]] auto RejectWithoutVersion(const WorkItem& item) const
       -> std::optional<Rejection>;
   /// Returns true if any registered target that is not leaving has loaded the
--- a/modules/baobab_gateway/dispatcher_choice.cc
+++ b/modules/baobab_gateway/dispatcher_choice.cc
@@ -123,7 +123,7 @@
   }
   const auto prefill = OwnPrefillTime(item);
   const auto step = prefill_speed_.StepTime(generation.model_, 1);
-  if (item.resumed_) {
+  if (item.resumed_ || item.resumed_by_caller_) {
     // Its caller would have kept it until the deadline, whatever the estimate
     // of its length.
     return {prefill, prefill + step};
--- a/modules/baobab_gateway/request_gateway_admission.h
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -264,7 +264,7 @@
   }
   const auto now = Now();
   auto& item = active.item_;
-  item.resumed_ = true;
+  item.resumed_by_caller_ = true;
   const char* source = "record";
   const char* obstacle = nullptr;
   if (const auto* origin = origins_.Find(ingress.resumed_stream_, now)) {
--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -437,7 +437,7 @@
   if (exclude_target) {
     active.item_.excluded_.insert(active.target_);
   }
-  active.item_.resumed_ = active.item_.resumed_ || active.response_started_;
+  active.item_.resumed_ = active.response_started_;
   if (active.response_started_ &&
       active.route_->abandon_after_ > Duration::zero()) {
     active.item_.first_event_by_ =
--- a/modules/baobab_gateway/work_item.h
+++ b/modules/baobab_gateway/work_item.h
@@ -101,8 +101,9 @@
   /// continued if it is a resumed one.
   TimePoint first_event_by_ = TimePoint::max();
   std::set<std::string> excluded_;  ///< Targets that failed this request.
-  /// Part of the response was already delivered, maybe by another instance.
-  bool resumed_ = false;
+  bool resumed_ = false;  ///< Part of the response was already delivered.
+  /// The caller resumes a stream of which it got a part with another request.
+  bool resumed_by_caller_ = false;
   /// Software version that a target must have to go on with the stream.
   std::optional<std::string> version_;
 };
