--- a/modules/baobab_gateway/simulated_lease_faults.cc
+++ b/modules/baobab_gateway/simulated_lease_faults.cc
@@ -67,7 +67,7 @@
       BeginStoreOutage();
       After(event.time_, [this, copied_at = now_ - event.age_] {
         store_.Restore(copied_at, now_);
-        leases_paused_at_ = now_;  // those of the copy run anew
+        leases_paused_at_ = now_;  // Restore() has set their ends
         EndStoreOutage();
       });
       break;
--- a/modules/baobab_gateway/simulated_lease_store.h
+++ b/modules/baobab_gateway/simulated_lease_store.h
@@ -112,7 +112,7 @@
 
   /// Returns to the newest copy that was taken at `at` or before. Later writes
   /// and leases are gone, and their revisions and ids are given out again.
-  /// Leases of the copy run anew.
+  /// Leases of the copy get their full time to live from `now`.
   auto Restore(Duration at, Duration now) -> void {
     while (copies_.size() > 1 && copies_.back().at_ > at) {
       copies_.pop_back();
--- a/modules/baobab_gateway/store_era.h
+++ b/modules/baobab_gateway/store_era.h
@@ -10,7 +10,7 @@
 ///
 /// The store may return from a copy that is some seconds old. What was written
 /// since the copy is gone, and its revisions and lease ids are given out again.
-/// The era rises by one each time, so that facts of two eras can be told apart.
+/// The era rises by one each time; revisions compare only within one era.
 class StoreEra {
  public:
   /// Largest era that counts.
--- a/modules/baobab_gateway/stream_origins_test.cc
+++ b/modules/baobab_gateway/stream_origins_test.cc
@@ -69,7 +69,7 @@
     peer.Learn(*DecodeStreamOrigins(EncodeStreamOrigins(update)), now);
     CHECK(peer.Find("before", now)->version_ == "v1");
     CHECK(peer.Find("other", now) == nullptr);
-    // What a peer told is not told again.
+    // Updates name only streams of the instance itself.
     CHECK(peer.TakeUpdate(kMixed, now).streams_.empty());
   }
   CHECK(origins.TakeUpdate(kMixed, now).streams_.empty());
