Review case 12: a key that was taken away works again after a drill

A machine that starts after the store has returned from an older copy takes the manifest of the copy for the newest one, although its peers report a newer one.

--- a/review/stand_ins_3/client.h
+++ b/review/stand_ins_3/client.h
@@ -53,6 +53,9 @@
         "\r\nX-Baobabroad-Prompt-Prefix: 5c1e07a2:300," +
         std::to_string(std::hash<std::string>()(name_) % 100000) +
         ":100\r\nX-Baobabroad-Deadline-Ms: " + std::to_string(left) + "\r\n";
+    if (!key_.empty()) {
+      head += "Api-Key: " + key_ + "\r\n";
+    }
     if (stream_.last_event_ >= 0) {
       head += "Last-Event-Id: " + std::to_string(stream_.last_event_) +
               "\r\nResumes: " + stream_.first_id_ + "\r\n";
@@ -83,6 +86,8 @@
     return status;
   }
 
+  auto SetKey(const std::string& key) -> void { key_ = key; }
+
   /// Lets the connection of the present attempt be reset.
   auto Break() -> void { broken_ = true; }
   auto Mend() -> void { broken_ = false; }
@@ -148,6 +153,7 @@
   std::string name_;
   std::string path_;
   std::string model_;
+  std::string key_;
   Clock::time_point deadline_;
   Stream stream_;
   int attempts_ = 0;
--- a/review/stand_ins_3/fleet.h
+++ b/review/stand_ins_3/fleet.h
@@ -64,6 +64,7 @@
     int memory_mb_ = 260;
     int descriptors_ = 4100;
     std::string cpu_share_ = "0.25";
+    std::string more_bounds_;  // lines of the table
   };
 
   /// Keeps settings and logs in `directory`. `count` machines, each in a zone
@@ -292,7 +293,8 @@
         << "retry_slack = 54\nrecover_s = 12\npass_ms = 120\n"
         << "retry_after_s = 0\nchecks_fence = false\nlease_ms = 3000\n"
         << "thaw_ms = 300\nceiling_window_s = 5\nceiling_over = 1.1\n"
-        << "ttl_max_s = 5\n[platform]\naddr = \"" << net_
+        << "ttl_max_s = 5\n"
+        << limits_.more_bounds_ << "[platform]\naddr = \"" << net_
         << "200:" << store_port_ + index
         << "\"\nform = \"kv\"\nwrites_per_s = 400\nreads_per_s = 2000\n"
         << "history_s = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n";
--- a/review/stand_ins_3/scenario.h
+++ b/review/stand_ins_3/scenario.h
@@ -58,21 +58,29 @@
 
 /// `models`: how many kService has, m1 and so on. `others`: there is a second
 /// service, with the models n1 to n3.
-inline auto Manifest(int models = 1, bool others = false) -> std::string {
+/// `keys`: those of the one client account there is; none: there is no account.
+inline auto Manifest(int models = 1, bool others = false, int version = 7,
+                     const std::vector<std::string>& keys = {}) -> std::string {
   json::array routes{StreamRoute("/note/", kService)};
   json::array services{ModelService(kService, "m", models)};
   if (others) {
     routes.push_back(StreamRoute("/other/", kOtherService));
     services.push_back(ModelService(kOtherService, "n", 3));
   }
-  return json::serialize(json::object{{"version", 7},
-                                      {"routes", std::move(routes)},
-                                      {"services", std::move(services)},
-                                      {"limits",
-                                       {{"max_header_bytes", 16384},
-                                        {"max_body_bytes", 4194304},
-                                        {"header_timeout_ms", 3000},
-                                        {"idle_timeout_ms", 15000}}}});
+  json::object manifest{{"version", version},
+                        {"routes", std::move(routes)},
+                        {"services", std::move(services)},
+                        {"limits",
+                         {{"max_header_bytes", 16384},
+                          {"max_body_bytes", 4194304},
+                          {"header_timeout_ms", 3000},
+                          {"idle_timeout_ms", 15000}}}};
+  if (!keys.empty()) {
+    json::array list(keys.begin(), keys.end());
+    manifest["tenants"] =
+        json::array{{{"name", "ward-a"}, {"api_keys", std::move(list)}}};
+  }
+  return json::serialize(manifest);
 }
 
 /// Streams that begin at the same time, each read by a client in a thread of
--- a/review/stand_ins_3/store.h
+++ b/review/stand_ins_3/store.h
@@ -62,6 +62,12 @@
   /// connections are silent meanwhile; what they held is lost.
   auto Cut(std::size_t index, bool cut) -> void { cut_[index] = cut; }
 
+  /// A copy of what the store holds, for a drill.
+  struct Copy;
+  [[nodiscard]] auto TakeCopy() -> std::shared_ptr<Copy>;
+  /// Returns from `copy`, in the next era.
+  auto Restore(const Copy& copy) -> void;
+
   /// Writes of the operator and of the servers.
   auto Put(const std::string& key, const std::string& value) -> void {
     const std::lock_guard lock(mutex_);
@@ -205,8 +211,10 @@
     return "";
   }
 
-  static auto Reply(int status, const json::object& body) -> std::string {
-    return Answer(status, json::serialize(body), "Store-Era: 1\r\n");
+  [[nodiscard]] auto Reply(int status, const json::object& body) const
+      -> std::string {
+    return Answer(status, json::serialize(body),
+                  "Store-Era: " + std::to_string(era_) + "\r\n");
   }
 
   auto Handle(const Message& request) -> std::string {
@@ -261,6 +269,9 @@
              std::int64_t after, int wait_ms) -> std::string {
     const auto until = Clock::now() + Ms(wait_ms);
     for (;;) {
+      if (after > revision_) {
+        return Reply(410, {});
+      }
       json::array events;
       for (const auto& event : history_) {
         if (event.revision_ > after && event.key_.starts_with(prefix)) {
@@ -314,6 +325,35 @@
   std::deque<Event> history_;
   std::int64_t revision_ = 100;
   std::int64_t last_lease_ = 70000;
+  int era_ = 1;
 };
 
+struct Store::Copy {
+  std::map<std::string, Item> items_;
+  std::map<std::int64_t, Lease> leases_;
+  std::deque<Event> history_;
+  std::int64_t revision_ = 0;
+  std::int64_t last_lease_ = 0;
+};
+
+inline auto Store::TakeCopy() -> std::shared_ptr<Copy> {
+  const std::lock_guard lock(mutex_);
+  return std::make_shared<Copy>(
+      Copy{items_, leases_, history_, revision_, last_lease_});
+}
+
+inline auto Store::Restore(const Copy& copy) -> void {
+  const std::lock_guard lock(mutex_);
+  items_ = copy.items_;
+  leases_ = copy.leases_;
+  for (auto& [id, lease] : leases_) {
+    lease.ends_ = Clock::now() + lease.ttl_;
+  }
+  history_ = copy.history_;
+  revision_ = copy.revision_;
+  last_lease_ = copy.last_lease_;
+  ++era_;
+  changed_.notify_all();
+}
+
 }  // namespace review
