Let streams of unknown origin go on only at a version that the store confirms

Cause: RequestGateway::ResolveOrigin took the only version among the local registrations for the origin of a stream that it did not know, at any age of these registrations. An instance that was partitioned while a second version joined let that version's streams go on at the first. The same held for an instance that starts without the store, or right after the store returned from an older copy, and for a target that registered and left between two reads.

Ruled out: a late update of origins; a partitioned instance can get none.

Change: the store must have confirmed the registrations after the request arrived. The request waits for that, 0.4 s at most; waiting requests share one call. Nothing is confirmed while live targets may be missing after an outage or a return from a copy; the holder states in the store that an era has settled, so that instances that start need not wait. Each registration that is read counts, also if its target has left in the same read.

Why it works: the target that began a stream was registered before the first event, and that was before the request that resumes it. A read that began after the request's arrival contains that registration.

--- a/modules/baobab_gateway/active_request.h
+++ b/modules/baobab_gateway/active_request.h
@@ -49,7 +49,7 @@
 };
 
 /// A request that is deferred until the routes and targets are known, or until
-/// its key can be decided on.
+/// its key or the origin of its stream can be decided on.
 struct DeferredRequest {
   HttpRequest request_;
   IngressRequest ingress_;
--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -94,6 +94,8 @@
   static constexpr const char* kOrderHolderKey = "baobab/orders";
   /// Prefix of the records of software versions (see SoftwareVersions).
   static constexpr const char* kVersionsPrefix = "baobab/versions/";
+  /// Latest era of the store that has settled (see StateSync::OnSettledEra).
+  static constexpr const char* kSettledEraKey = "baobab/era";
   /// Prefix of the origins of streams (see StreamJournal).
   static constexpr const char* kStreamsPrefix = "baobab/streams/";
   /// Time after a record of a software version was found missing at which a
@@ -119,6 +121,14 @@
                [this] { OnReadBegins(); },
                [this](Duration began, bool of_all) {
                  OnManifestConfirmed(began, of_all);
+               },
+               [this](const TargetRegistration& registration) {
+                 gateway_.versions().OnRegistration(
+                     {registration.service_, registration.software_version_},
+                     Now());
+               },
+               [this](Duration moment) {
+                 gateway_.OnRegistrationsConfirmed(moment);
                }}),
         holder_(io, store_, kOrderHolderKey, settings_.instance_,
                 OwnerId(settings_.instance_, incarnation_),
@@ -149,7 +159,7 @@
                gateway_.OnCapGrants(grants);
              },
              [this](const StreamOriginUpdate& update) {
-               gateway_.origins().Learn(update, Now());
+               gateway_.OnStreamOrigins(update);
              }}),
         report_timer_(io),
         evidence_timer_(io),
@@ -188,6 +198,8 @@
       sync_.ReadManifest(
           [this](bool answered) { gateway_.OnKeyReadEnded(answered); });
     });
+    gateway_.SetRegistrationReadHandler(
+        [this] { sync_.ConfirmRegistrations(); });
     gateway_.SetCapDemandHandler([this] { SendCapDemand(); });
     gateway_.SetEvidenceHandler([this] { ScheduleEvidence(); });
     gateway_.SetRetryAfterHandler(
@@ -299,6 +311,10 @@
 
   auto OnOwnEntry(const StoreEntry& entry) -> void;
 
+  /// Writes that the era of the store has settled, if this instance holds the
+  /// order lease and no entry states it.
+  auto RecordSettledEra(TimePoint now) -> void;
+
   /// Encodes the value of the store entry that registers this instance:
   /// "<address> <address for callers> <zone> <CPU share>".
   [[nodiscard]] auto EncodeRegistration() const -> std::string;
@@ -528,6 +544,7 @@
   std::map<std::string, std::int64_t> told_peers_;  // incarnation by name
   std::optional<TimePoint> records_missing_since_;
   bool writes_records_ = false;
+  bool writes_era_ = false;
   StreamJournal stream_journal_;
   std::int64_t journal_lease_ = 0;
   TimePoint journal_lease_granted_at_{};
--- a/modules/baobab_gateway/entry_instance_reports.h
+++ b/modules/baobab_gateway/entry_instance_reports.h
@@ -406,6 +406,7 @@
   SendDigestIfDue(report, now);
   SendCapDemand();
   ShareStreamOrigins(now);
+  RecordSettledEra(now);
   if (now - evidence_sent_at_ >= ReportIntervals::kEvidenceRepeat) {
     SendEvidence();
   }
--- a/modules/baobab_gateway/entry_instance_state.h
+++ b/modules/baobab_gateway/entry_instance_state.h
@@ -33,6 +33,13 @@
   if (ApplyStreamEntry(entry)) {
     return;
   }
+  if (entry.key_ == kSettledEraKey) {
+    std::int64_t era = 0;
+    if (!entry.removed_ && std::istringstream(entry.value_) >> era) {
+      sync_.OnSettledEra(era);
+    }
+    return;
+  }
   const std::string prefix = kInstancesPrefix;
   if (!entry.key_.starts_with(prefix)) {
     return;
@@ -48,6 +55,26 @@
   directory_.Register(name, DecodeRegistration(entry.value_));
 }
 
+template <class Platform>
+auto EntryInstance<Platform>::RecordSettledEra(TimePoint now) -> void {
+  const auto era = sync_.FindUnrecordedEra(now);
+  if (!era || writes_era_ || holder_.fencing_token() == 0) {
+    return;
+  }
+  writes_era_ = true;
+  StoreTransaction change;
+  change.writes_.push_back({kSettledEraKey, std::to_string(*era), 0});
+  store_.Commit(change, [this, era = *era](auto committed) {
+    writes_era_ = false;
+    // If the store has returned from a copy since, the entry states an earlier
+    // era and does no harm.
+    if (std::holds_alternative<std::int64_t>(committed)) {
+      sync_.OnSettledEra(era);
+      LogEvent(LogLevel::kInfo, "store_era_settled").With("era", era);
+    }
+  });
+}
+
 template <class Platform>
 auto EntryInstance<Platform>::Register() -> void {
   if (stopping_) {
--- a/modules/baobab_gateway/entry_instance_streams.h
+++ b/modules/baobab_gateway/entry_instance_streams.h
@@ -140,6 +140,8 @@
   }
   if (!entry.removed_) {
     if (const auto update = DecodeStreamOrigins(entry.value_)) {
+      // Requests that wait for them are decided on after this read, which may
+      // bring the targets as well.
       gateway_.origins().Learn(*update, Now());
     }
   }
--- a/modules/baobab_gateway/ingress_types.h
+++ b/modules/baobab_gateway/ingress_types.h
@@ -38,6 +38,9 @@
   /// request may wait for that. Not part of the request.
   accounts::CapAttempt cap_attempt_ = accounts::CapAttempt::kFirst;
   TimePoint cap_wait_until_{};
+  /// When the origin of the resumed stream was first decided on. Not part of
+  /// the request.
+  TimePoint origin_asked_at_{};
 };
 
 /// Parameters for forwarding a request to a target.
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -18,6 +18,7 @@
 #include "baobab_base/log.h"
 #include "baobab_base/metrics_registry.h"
 #include "baobab_base/random_source.h"
+#include "baobab_base/rendezvous_hash.h"
 #include "baobab_base/step_error.h"
 #include "baobab_base/time_types.h"
 #include "baobab_gateway/active_request.h"
@@ -34,8 +35,7 @@
 #include "baobab_gateway/key_gate.h"
 #include "baobab_gateway/retry_ledger.h"
 #include "baobab_gateway/route_table.h"
-#include "baobab_gateway/software_versions.h"
-#include "baobab_gateway/stream_origins.h"
+#include "baobab_gateway/stream_origin_resolver.h"
 #include "baobab_http/http_server.h"
 #include "baobab_targets/connection_pool.h"
 #include "baobab_targets/target_exchange.h"
@@ -89,6 +89,7 @@
         key_gate_(settings.revocation_time_),
         cap_timer_(io),
         caps_(settings.instance_, incarnation, settings.cap_bounds_),
+        origin_timer_(io),
         dispatcher_(DispatchSettings(), settings.zone_, std::random_device{}()),
         retries_(settings.retries_),
         buffers_(settings.memory_bytes_),
@@ -123,7 +124,7 @@
   /// Keeps a reference to `registry`.
   auto SetTargets(const TargetRegistry& registry) -> void {
     registry_ = &registry;
-    versions_.SetTargets(registry, Now());
+    versions().SetTargets(registry, Now());
     dispatcher_.SetTargets(registry, Now());
     ReleaseDeferredRequests(Now());
     Dispatch();
@@ -214,8 +215,27 @@
 
   /// Returns what is known of the software versions of services, and of the
   /// streams that they began, to exchange it with the store and with peers.
-  [[nodiscard]] auto versions() -> SoftwareVersions& { return versions_; }
-  [[nodiscard]] auto origins() -> StreamOrigins& { return origins_; }
+  [[nodiscard]] auto versions() -> SoftwareVersions& {
+    return origin_resolver_.versions();
+  }
+  [[nodiscard]] auto origins() -> StreamOrigins& {
+    return origin_resolver_.origins();
+  }
+
+  /// Sets the handler that has the store confirm the registrations; the result
+  /// goes to OnRegistrationsConfirmed().
+  auto SetRegistrationReadHandler(std::function<void()> handler) -> void {
+    on_registration_read_ = std::move(handler);
+  }
+
+  /// Records what a peer or the store states of streams, and decides on the
+  /// requests that wait for it.
+  auto OnStreamOrigins(const StreamOriginUpdate& update) -> void;
+
+  /// Records that this instance knows all registrations that the store had
+  /// accepted at `moment` (boot clock), and decides on the requests that wait
+  /// for it.
+  auto OnRegistrationsConfirmed(Duration moment) -> void;
 
   /// Sets the handler that is called after each dispatch decision that leaves
   /// requests queued: they may need an adapter that the lease holder has to
@@ -290,9 +310,31 @@
              IngressRequest&& decoded, TimePoint arrived) -> void;
 
   /// If the caller resumes a stream, selects the service and the software
-  /// version that began it. Rejects the request and returns false if they are
-  /// unknown, unless there is one version only.
-  auto ResolveOrigin(ActiveRequest& active) -> bool;
+  /// version that began it. Returns false if the request was rejected because
+  /// they are unknown, or waits until they are known.
+  auto ResolveOrigin(ActiveRequest& active, HttpRequest& request,
+                     TimePoint arrived) -> bool;
+
+  [[nodiscard]] auto DecideOrigin(const Route& route,
+                                  const IngressRequest& ingress,
+                                  TimePoint now) const
+      -> StreamOriginResolver::Decision;
+
+  /// Keeps a request waiting for the origin of its stream. Returns false if too
+  /// many wait.
+  auto AwaitOrigin(ActiveRequest& active, HttpRequest& request,
+                   TimePoint arrived) -> bool;
+
+  /// Asks the store for what waiting requests need.
+  auto AskForOrigins() -> void;
+
+  auto StartOriginTimer() -> void;
+
+  /// Admits or refuses the requests whose streams can be decided on, or that
+  /// waited too long for that.
+  auto ReleaseOriginWaits(TimePoint now) -> void;
+
+  auto TakeOriginWait(ExchangeId exchange) -> std::optional<DeferredRequest>;
 
   /// Queues a request at the dispatcher and dispatches.
   auto Enqueue(const WorkItem& item, TimePoint now) -> void;
@@ -467,6 +509,10 @@
   static constexpr Duration kMaxCapWait = std::chrono::milliseconds(100);
   static constexpr Duration kCapCheckInterval = std::chrono::milliseconds(20);
   static constexpr std::size_t kMaxCapWaits = 256;
+  /// Bounds on the requests that wait for the origin of their stream: their
+  /// number and the part of the memory for their bodies.
+  static constexpr std::size_t kMaxOriginWaits = 512;
+  static constexpr std::size_t kOriginWaitMemoryPart = 16;
   /// Retry delay in all other cases: the approximate time until a target has a
   /// free slot or another target can serve the request.
   static constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
@@ -487,6 +533,10 @@
   accounts::AccountCapLimiter caps_;
   std::map<ExchangeId, DeferredRequest> cap_waits_;
   std::function<void()> on_cap_demand_;
+  boost::asio::steady_timer origin_timer_;
+  std::map<ExchangeId, DeferredRequest> origin_waits_;
+  std::size_t origin_wait_bytes_ = 0;  // of their bodies
+  std::function<void()> on_registration_read_;
   TimePoint timer_expiry_ = TimePoint::max();
   bool dispatch_pending_ = false;
   bool refusing_requests_ = false;
@@ -495,8 +545,7 @@
   RouteTable routes_;
   const TargetRegistry* registry_ = nullptr;
   Dispatcher dispatcher_;
-  SoftwareVersions versions_;
-  StreamOrigins origins_;
+  StreamOriginResolver origin_resolver_;
   RetryLedger retries_;
   BufferBudget buffers_;
   Random random_;
@@ -519,4 +568,5 @@
 #include "baobab_gateway/request_gateway_attempts.h"
 #include "baobab_gateway/request_gateway_caps.h"
 #include "baobab_gateway/request_gateway_keys.h"
+#include "baobab_gateway/request_gateway_origins.h"
 #include "baobab_gateway/request_gateway_timers.h"
--- a/modules/baobab_gateway/request_gateway_admission.h
+++ b/modules/baobab_gateway/request_gateway_admission.h
@@ -37,6 +37,7 @@
   ReleaseDeferredRequests(Now());
   ReleaseKeyWaits(Now());
   ReleaseCapWaits(/*answered=*/true);
+  ReleaseOriginWaits(Now());
   std::vector<WorkId> unsent;
   for (const auto& [id, active] : active_) {
     if (!active.attempt_ && !active.response_started_) {
@@ -212,7 +213,7 @@
   if (decision.account_ && key_gate_.NeedsRenewal(ingress.received_at_)) {
     RequestKeyRead();
   }
-  if (!ResolveOrigin(active)) {
+  if (!ResolveOrigin(active, request, arrived)) {
     return;
   }
   if (decision.account_ &&
@@ -255,50 +256,6 @@
   Enqueue(copy, now);
 }
 
-template <RequestTranslator Codec>
-auto RequestGateway<Codec>::ResolveOrigin(ActiveRequest& active) -> bool {
-  const auto& ingress = active.ingress_;
-  const auto& route = *active.route_;
-  if (route.kind_ != RequestKind::kStream || ingress.last_event_id_ < 0) {
-    return true;
-  }
-  const auto now = Now();
-  auto& item = active.item_;
-  item.resumed_by_caller_ = true;
-  const char* source = "record";
-  const char* obstacle = nullptr;
-  if (const auto* origin = origins_.Find(ingress.resumed_stream_, now)) {
-    item.service_ = origin->service_;
-    item.version_ = origin->version_;
-    const bool is_allowed = std::any_of(
-        route.services_.begin(), route.services_.end(),
-        [origin](const auto& part) {
-          return part.weight_ > 0 && part.service_ == origin->service_;
-        });
-    obstacle = is_allowed ? nullptr : "stream_service_gone";
-  } else {
-    std::uniform_real_distribution<double> draw(0, 1);
-    item.service_ = PickService(route, draw(random_));
-    item.version_ = versions_.OnlyVersion(item.service_, now);
-    source = "only_version";
-    obstacle = item.version_ ? nullptr : "stream_origin_unknown";
-  }
-  LogEvent(LogLevel::kInfo, "stream_resumed")
-      .With("id", ingress.id_)
-      .With("stream", ingress.resumed_stream_)
-      .With("after_event", ingress.last_event_id_)
-      .With("service", item.service_)
-      .With("version", item.version_.value_or(""))
-      .With("source", obstacle == nullptr ? source : obstacle);
-  metrics_.Add("gateway_resumed_streams_total",
-               Label("source", obstacle == nullptr ? source : obstacle));
-  if (obstacle != nullptr) {
-    Refuse(active.exchange_, ingress.id_, RefusalReason::kNotRun, obstacle,
-           kDefaultRetryAfter);
-  }
-  return obstacle == nullptr;
-}
-
 template <RequestTranslator Codec>
 auto RequestGateway<Codec>::Enqueue(const WorkItem& item, TimePoint now)
     -> void {
--- a/modules/baobab_gateway/request_gateway_attempts.h
+++ b/modules/baobab_gateway/request_gateway_attempts.h
@@ -201,8 +201,8 @@
   const auto& stream =
       ingress.last_event_id_ < 0 ? ingress.id_ : ingress.resumed_stream_;
   if (!stream.empty()) {
-    origins_.Record(stream, {active.item_.service_, active.target_version_},
-                    now);
+    origins().Record(stream, {active.item_.service_, active.target_version_},
+                     now);
   }
 }
 
@@ -484,6 +484,7 @@
   deferred_.erase(exchange);
   cap_waits_.erase(exchange);
   ForgetKeyWait(exchange);
+  TakeOriginWait(exchange);
   const auto found = by_exchange_.find(exchange);
   if (found == by_exchange_.end()) {
     return;
--- a/modules/baobab_gateway/software_versions.h
+++ b/modules/baobab_gateway/software_versions.h
@@ -41,6 +41,15 @@
 
   auto SetTargets(const TargetRegistry& registry, TimePoint now) -> void;
 
+  /// Handles a registration as it is read. Its target may be gone when
+  /// SetTargets() is called next, after the batch of changes that contains
+  /// both.
+  auto OnRegistration(const SoftwareVersion& version, TimePoint now) -> void {
+    if (registered_.count(version) == 0) {
+      left_at_[version] = now;
+    }
+  }
+
   /// Handles the record with the key `name` in the store, and its removal.
   auto OnRecord(const std::string& name, std::string_view text, TimePoint now)
       -> void;
--- a/modules/baobab_gateway/software_versions_test.cc
+++ b/modules/baobab_gateway/software_versions_test.cc
@@ -43,6 +43,20 @@
   CHECK(versions.OnlyVersion("s", later + seconds(1)) == "v2");
 }
 
+// Guards against a version that an instance never sees: its target registered
+// and left while the instance did not read the store.
+TEST_CASE("A version counts although its target has left in the same read",
+          "[gateway]") {
+  SoftwareVersions versions;
+  versions.SetTargets(MakeRegistry({"v1"}), kStart);
+  versions.OnRegistration({"s", "v1"}, kStart);
+  versions.OnRegistration({"s", "v2"}, kStart);
+  versions.SetTargets(MakeRegistry({"v1"}), kStart);
+  const auto later = kStart + SoftwareVersions::kMemory;
+  CHECK_FALSE(versions.OnlyVersion("s", later));
+  CHECK(versions.OnlyVersion("s", later + seconds(1)) == "v1");
+}
+
 // Guards against an instance that starts after the last target of a version has
 // left and does not know of that version, and against records that end too soon
 // or are written without need.
--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -67,6 +67,11 @@
     /// than the known one was acknowledged before that moment. `of_all`: the
     /// read was one of all changes.
     std::function<void(Duration began, bool of_all)> on_manifest_confirmed_;
+    /// A registration was read or adopted.
+    std::function<void(const TargetRegistration&)> on_registration_;
+    /// The local copy holds every registration that the store had accepted at a
+    /// moment of the boot clock and that has not expired for lack of a store.
+    std::function<void(Duration moment)> on_registrations_confirmed_;
   };
 
   /// Time for which the store waits for a change in one watch call. A stalled
@@ -268,6 +273,50 @@
                  });
   }
 
+  /// Has the store confirm the registrations as of now, or of a moment after
+  /// this call. Begins a read if none is in progress; otherwise asks the store
+  /// for its revision, which the reads confirm once they have reached it. Makes
+  /// one such call at a time, and none while reads fail.
+  auto ConfirmRegistrations() -> void {
+    if (read_scheduled_) {
+      read_scheduled_ = false;
+      Watch();
+      return;
+    }
+    if (asks_revision_ || !outage_.is_connected()) {
+      return;
+    }
+    asks_revision_ = true;
+    store_.Range(Codec::ManifestKey(), "",
+                 [this, began = BootTime()](auto result) {
+                   asks_revision_ = false;
+                   if (const auto* page = std::get_if<StoreListing>(&result)) {
+                     awaited_ = {began, page->revision_};
+                     ConfirmAwaitedRevision();
+                   }
+                 });
+  }
+
+  /// Records that the store is in the era `era` for so long that all live
+  /// targets have registered again: an instance has observed it. An instance
+  /// that starts cannot tell by itself when the store returned from a copy
+  /// last.
+  auto OnSettledEra(std::int64_t era) -> void {
+    settled_era_ = era;
+    if (StorePosition::Era(revision_) == era) {
+      registrations_back_at_ = TimePoint{};
+    }
+  }
+  /// Returns the era of the store if this instance has observed that it settled
+  /// and no entry of the store states that.
+  [[nodiscard]] auto FindUnrecordedEra(TimePoint now) const
+      -> std::optional<std::int64_t> {
+    const auto era = StorePosition::Era(revision_);
+    return era != settled_era_ && now >= registrations_back_at_
+               ? std::optional(era)
+               : std::nullopt;
+  }
+
   /// Applies a manifest that a peer sent, if it is newer than the known one.
   /// `text` is the value of its store entry.
   auto AdoptManifest(const std::string& text) -> void {
@@ -291,6 +340,12 @@
   }
 
  private:
+  /// A revision of the store, as of a moment of the boot clock.
+  struct AwaitedRevision {
+    Duration moment_{};
+    std::int64_t revision_ = 0;
+  };
+
   [[nodiscard]] static auto Now() -> TimePoint {
     return std::chrono::time_point_cast<Duration>(
         std::chrono::steady_clock::now());
@@ -341,6 +396,10 @@
     if (is_restored) {
       grace_period_end_ = Now() + TargetRegistry::kExpiryGracePeriod;
     }
+    if (is_restored || (revision_ == 0 &&
+                        StorePosition::Era(list_revision_) != settled_era_)) {
+      registrations_back_at_ = Now() + TargetRegistry::kExpiryGracePeriod;
+    }
     registry_.Reconcile(listed_targets_, list_revision_, after_outage, Now());
     std::erase_if(raw_targets_, [this](const auto& entry) {
       return registry_.Find(entry.first) == nullptr;
@@ -369,6 +428,7 @@
     targets_changed_ = true;
     NotifyHandlers();
     ConfirmManifest(read_began_, /*of_all=*/true);
+    ConfirmRegistrationsAt(read_began_);
     if (after_outage) {
       ScheduleExpiry();
     }
@@ -409,6 +469,7 @@
       if (!listing.has_more_) {
         // Changes after the beginning of the call may or may not be included.
         ConfirmManifest(read_began_, /*of_all=*/true);
+        ConfirmRegistrationsAt(read_began_);
       }
       schedule_.OnRead(Now());
       if (listing.entries_.empty() && is_watching_instance()) {
@@ -558,6 +619,9 @@
             .With("started_ms", registration.start_time_ms_)
             .With("known_started_ms", known->registration_.start_time_ms_);
       }
+      if (handlers_.on_registration_) {
+        handlers_.on_registration_(registration);
+      }
       registry_.Put(std::move(registration), revision);
       raw_targets_[id] = {text, revision};
     } catch (const StepError& error) {
@@ -599,6 +663,26 @@
     }
   }
 
+  /// Reports that the registrations as of `moment` are known, and those as of
+  /// the revision that was asked for if the reads have reached it.
+  auto ConfirmRegistrationsAt(Duration moment) -> void {
+    const auto now = Now();
+    if (now >= registrations_back_at_ && now >= grace_period_end_ &&
+        handlers_.on_registrations_confirmed_) {
+      Guard(Codec::TargetKeyPrefix(),
+            [&] { handlers_.on_registrations_confirmed_(moment); });
+    }
+    ConfirmAwaitedRevision();
+  }
+
+  auto ConfirmAwaitedRevision() -> void {
+    if (awaited_ && revision_ >= awaited_->revision_) {
+      const auto moment = awaited_->moment_;
+      awaited_.reset();
+      ConfirmRegistrationsAt(moment);
+    }
+  }
+
   auto OnFailure(const char* call, StoreFailure failure) -> void {
     if (outage_.OnFailure()) {
       LogEvent(LogLevel::kWarning, "store_lost")
@@ -672,6 +756,12 @@
   std::set<std::string> listed_own_keys_;
   std::set<std::string> own_keys_;
   TimePoint grace_period_end_{};
+  /// When live targets whose registrations a return of the store from a copy
+  /// has removed are registered again.
+  TimePoint registrations_back_at_{};
+  std::int64_t settled_era_ = 0;  // 0: the store has never returned from a copy
+  std::optional<AwaitedRevision> awaited_;
+  bool asks_revision_ = false;
   StoreOutageDetector outage_;
   std::int64_t revision_ = 0;
   std::int64_t list_revision_ = 0;
--- a/modules/baobab_gateway/state_sync_test.cc
+++ b/modules/baobab_gateway/state_sync_test.cc
@@ -76,7 +76,11 @@
                  CHECK(began <= BootTime());
                  confirmed_ += of_all ? "all " : "manifest ";
                  confirmed_ += std::to_string(version_) + ";";
-               }}) {
+               },
+               [this](const auto& registration) {
+                 registered_.push_back(registration.id_);
+               },
+               [this](Duration moment) { confirmed_at_ = moment; }}) {
     sync_.Start();
   }
 
@@ -88,6 +92,10 @@
     auto reply = std::exchange(store_.watch_, nullptr);
     reply(StoreListing{std::move(items), false, revision});
   }
+  /// Answers a call of ConfirmRegistrations() with the revision of the store.
+  auto AnswerRevision(std::int64_t revision) -> void {
+    std::exchange(store_.range_, nullptr)(StoreListing{{}, false, revision});
+  }
 
   boost::asio::io_context io_;
   ScriptedStore store_;
@@ -97,6 +105,8 @@
   std::vector<StoreEntry> own_;
   int reads_ = 0;
   std::string confirmed_;  // versions that were confirmed as the newest
+  std::vector<std::string> registered_;
+  std::optional<Duration> confirmed_at_;  // of the registrations
   StateSync<ScriptedStore, TextCodec> sync_;
 };
 
@@ -151,6 +161,110 @@
   CHECK(fixture.confirmed_ == "all 5;all 6;manifest 7;");
 }
 
+// Guards against an instance that takes its registrations for complete although
+// its reads began before the moment in question.
+TEST_CASE("Registrations are confirmed as of a moment that reads cover",
+          "[gateway]") {
+  Fixture fixture;
+  auto& sync = fixture.sync_;
+  fixture.List({{"config", "5", 10, 0, false}}, 20);
+  CHECK(fixture.confirmed_at_);
+  fixture.confirmed_at_.reset();
+
+  // The call in progress began before: the store is asked for its revision, and
+  // the reads have to reach it.
+  sync.SetReadRole(StoreReadRole::kWatching);
+  REQUIRE(fixture.store_.watch_);
+  const auto asked = BootTime();
+  sync.ConfirmRegistrations();
+  fixture.AnswerRevision(21);
+  CHECK_FALSE(fixture.confirmed_at_);
+  fixture.Change({{"targets/a", "ready", 21, 0, false},
+                  {"targets/b", "ready", 21, 0, false},
+                  {"targets/b", "", 21, 0, true}},
+                 21);
+  REQUIRE(fixture.confirmed_at_);
+  CHECK(*fixture.confirmed_at_ >= asked);
+  CHECK(*fixture.confirmed_at_ <= BootTime());
+  // The second one was gone when the handler of all targets was called.
+  CHECK(fixture.registered_ == std::vector<std::string>{"a", "b"});
+
+  // No read is in progress: one begins.
+  CHECK_FALSE(fixture.store_.watch_);
+  const auto asked_again = BootTime();
+  sync.ConfirmRegistrations();
+  REQUIRE(fixture.store_.watch_);
+  CHECK_FALSE(fixture.store_.range_);
+  fixture.Change({}, 21);
+  CHECK(*fixture.confirmed_at_ >= asked_again);
+
+  // A read that failed confirms nothing, and no call is added to failing reads.
+  fixture.confirmed_at_.reset();
+  std::exchange(fixture.store_.watch_, nullptr)(StoreFailure::kUnknown);
+  sync.ConfirmRegistrations();
+  CHECK_FALSE(fixture.store_.range_);
+  CHECK_FALSE(fixture.confirmed_at_);
+}
+
+// Guards against an instance that takes its registrations for complete although
+// the store has just returned from a copy, or may have done so before the
+// instance started.
+TEST_CASE("Registrations are confirmed once they are back after a copy",
+          "[gateway]") {
+  enum class Settles { kNever, kBefore, kAfterwards };
+  struct Case {
+    const char* what_;
+    std::int64_t first_era_;  // 0: the store has never returned from a copy
+    Settles settles_;         // as stated by an entry of the store
+    bool returns_;            // from a copy, after the first listing
+    bool confirmed_;
+  };
+  const auto test = GENERATE(values<Case>({
+      {"never returned", 0, Settles::kNever, false, true},
+      {"returned before the start", 3, Settles::kNever, false, false},
+      {"returned long before the start", 3, Settles::kBefore, false, true},
+      {"returned before the start, settles", 3, Settles::kAfterwards, false,
+       true},
+      {"returns", 0, Settles::kNever, true, false},
+      {"returns again", 3, Settles::kBefore, true, false},
+      {"returns and settles", 3, Settles::kAfterwards, true, false},
+  }));
+  INFO(test.what_);
+  Fixture fixture;
+  auto& sync = fixture.sync_;
+  auto era = test.first_era_;
+  if (test.settles_ == Settles::kBefore) {
+    sync.OnSettledEra(era);  // an entry of the listing states it
+  }
+  fixture.List({{"config", "5", StorePosition::Make(era, 10), 0, false}},
+               StorePosition::Make(era, 20));
+  if (test.returns_) {
+    ++era;
+    fixture.Change({}, StorePosition::Make(era, 15));
+    fixture.List({{"config", "5", StorePosition::Make(era, 10), 0, false}},
+                 StorePosition::Make(era, 15));
+  }
+  if (test.settles_ == Settles::kAfterwards) {
+    sync.OnSettledEra(era);
+  }
+  fixture.confirmed_at_.reset();
+  sync.ConfirmRegistrations();
+  fixture.AnswerRevision(StorePosition::Make(era, 15));
+  CHECK(fixture.confirmed_at_.has_value() == test.confirmed_);
+
+  // The time after which live targets are registered again has passed.
+  const auto now = [] {
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  };
+  CHECK_FALSE(sync.FindUnrecordedEra(now()));
+  const auto later = now() + TargetRegistry::kExpiryGracePeriod;
+  const bool is_recorded =
+      test.confirmed_ || test.settles_ == Settles::kAfterwards;
+  CHECK(sync.FindUnrecordedEra(later) ==
+        (is_recorded ? std::nullopt : std::optional(era)));
+}
+
 // Guards against an instance that stops following the store because one entry,
 // or what its targets make of all of them, cannot be handled.
 TEST_CASE("Reading the store goes on after an exception in a handler",
