Ask peers for the origins of resumed streams, and keep these at coordinators

Cause: an instance told its peers of its streams only while it knew several versions of their service itself. Whether an origin is needed is decided where the stream is resumed.

Ruled out: lost datagrams; none was sent. Considered: telling the instance of the second version. That mends a cut from the store and leaves instances that are suspended, killed or cut from all, which cannot tell any more.

Change: an instance that meets a stream of unknown origin asks its peers, which may take 0.1 s with repetitions. Each instance tells the coordinators and the order holder of its streams, whatever versions it knows; they answer for it while it is silent.

Why it works: an origin is found if one reachable instance has it, whoever began the stream and whatever versions that one knew.

--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -103,6 +103,13 @@
   static constexpr Duration kVersionRecordDelay = std::chrono::seconds(2);
   /// Age of a process up to which its peers tell it of all streams again.
   static constexpr Duration kYoungProcess = std::chrono::seconds(2);
+  /// Interval of the queries for origins of streams, which may be lost, and the
+  /// time added for each recipient, so that many resumed streams at once do not
+  /// take the processor time of a small instance.
+  static constexpr Duration kOriginQueryInterval =
+      std::chrono::milliseconds(25);
+  static constexpr Duration kOriginQueryPerRecipient =
+      std::chrono::microseconds(500);
 
   EntryInstance(boost::asio::io_context& io, InstanceSettings settings)
       : io_(io),
@@ -160,6 +167,9 @@
              },
              [this](const StreamOriginUpdate& update) {
                gateway_.OnStreamOrigins(update);
+             },
+             [this](const StreamOriginQuery& query) {
+               AnswerOriginQuery(query);
              }}),
         report_timer_(io),
         evidence_timer_(io),
@@ -198,6 +208,9 @@
       sync_.ReadManifest(
           [this](bool answered) { gateway_.OnKeyReadEnded(answered); });
     });
+    gateway_.SetOriginQueryHandler([this](std::vector<std::uint64_t> ids) {
+      return SendOriginQuery(std::move(ids));
+    });
     gateway_.SetRegistrationReadHandler(
         [this] { sync_.ConfirmRegistrations(); });
     gateway_.SetCapDemandHandler([this] { SendCapDemand(); });
@@ -357,10 +370,22 @@
   /// Sends the demand of this instance to the broker of caps, if one is due.
   auto SendCapDemand() -> void;
 
-  /// Tells peers which software versions began recent streams, if a service has
-  /// several, and writes the records of these versions to the store.
+  /// Tells peers which software versions began recent streams: the keepers of
+  /// origins, or all peers if the service has several versions. Writes the
+  /// records of these versions to the store.
   auto ShareStreamOrigins(TimePoint now) -> void;
 
+  /// Tells the keepers of origins, the coordinators and the order lease holder,
+  /// of streams of services with one version. They answer for this instance
+  /// after it was lost, or while it is partitioned or suspended.
+  auto TellKeepers(const std::set<std::string>& mixed, TimePoint now) -> void;
+
+  /// Asks all peers that may know them for the origins of streams. Returns the
+  /// time until they may be asked again.
+  auto SendOriginQuery(std::vector<std::uint64_t> ids) -> Duration;
+
+  auto AnswerOriginQuery(const StreamOriginQuery& query) -> void;
+
   /// Tells a process that has just started of all streams.
   auto OnYoungPeer(const PeerReport& report, TimePoint now) -> void;
 
--- a/modules/baobab_gateway/entry_instance_streams.h
+++ b/modules/baobab_gateway/entry_instance_streams.h
@@ -12,6 +12,7 @@
 template <class Platform>
 auto EntryInstance<Platform>::ShareStreamOrigins(TimePoint now) -> void {
   const auto mixed = gateway_.versions().MixedServices(now);
+  TellKeepers(mixed, now);
   if (mixed.empty()) {
     records_missing_since_.reset();
     return;
@@ -42,6 +43,48 @@
   }
 }
 
+template <class Platform>
+auto EntryInstance<Platform>::TellKeepers(const std::set<std::string>& mixed,
+                                          TimePoint now) -> void {
+  auto update = gateway_.origins().TakeKeeperUpdate(mixed, now);
+  if (update.streams_.empty()) {
+    return;
+  }
+  update.instance_ = settings_.instance_;
+  const auto datagram = EncodeStreamOrigins(update);
+  for (const auto& [name, instance] : directory_.instances()) {
+    if (instance.is_coordinator_ || directory_.IsLeaseHolder(instance)) {
+      peers_.Send(instance.address_, datagram);
+    }
+  }
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::SendOriginQuery(std::vector<std::uint64_t> ids)
+    -> Duration {
+  const auto recipients = directory_.ReportRecipients(Now());
+  const auto datagram = EncodeStreamOriginQuery(
+      {settings_.instance_, settings_.address_, std::move(ids)});
+  for (const auto* instance : recipients) {
+    peers_.Send(instance->address_, datagram);
+  }
+  return kOriginQueryInterval +
+         kOriginQueryPerRecipient * static_cast<int>(recipients.size());
+}
+
+template <class Platform>
+auto EntryInstance<Platform>::AnswerOriginQuery(const StreamOriginQuery& query)
+    -> void {
+  if (query.instance_ == settings_.instance_) {
+    return;
+  }
+  auto answer = gateway_.origins().Lookup(query.ids_, Now());
+  if (!answer.streams_.empty()) {
+    answer.instance_ = settings_.instance_;
+    peers_.Send(query.address_, EncodeStreamOrigins(answer));
+  }
+}
+
 template <class Platform>
 auto EntryInstance<Platform>::WriteVersionRecords(
     std::vector<SoftwareVersion> versions) -> void {
--- a/modules/baobab_gateway/peer_link.cc
+++ b/modules/baobab_gateway/peer_link.cc
@@ -84,6 +84,9 @@
     } else if (const auto origins = DecodeStreamOrigins(bytes);
                origins && handlers_.on_stream_origins_) {
       handlers_.on_stream_origins_(*origins);
+    } else if (const auto query = DecodeStreamOriginQuery(bytes);
+               query && handlers_.on_stream_origin_query_) {
+      handlers_.on_stream_origin_query_(*query);
     } else {
       ++unreadable_datagrams_;
       LogEvent(LogLevel::kWarning, "peer_report_unreadable")
--- a/modules/baobab_gateway/peer_link.h
+++ b/modules/baobab_gateway/peer_link.h
@@ -32,6 +32,7 @@
     std::function<void(const accounts::CapDemand&)> on_cap_demand_;
     std::function<void(const accounts::CapGrants&)> on_cap_grants_;
     std::function<void(const StreamOriginUpdate&)> on_stream_origins_;
+    std::function<void(const StreamOriginQuery&)> on_stream_origin_query_;
   };
 
   /// Binds a UDP socket to `address`:`port` and starts to receive. `port` is
--- a/modules/baobab_gateway/request_gateway.h
+++ b/modules/baobab_gateway/request_gateway.h
@@ -222,6 +222,14 @@
     return origin_resolver_.origins();
   }
 
+  /// Sets the handler that asks peers for the origins of the streams with these
+  /// ids (see StreamOrigins::IdOf), and returns the time until they may be
+  /// asked again. Their answers go to OnStreamOrigins().
+  auto SetOriginQueryHandler(
+      std::function<Duration(std::vector<std::uint64_t>)> handler) -> void {
+    on_origin_query_ = std::move(handler);
+  }
+
   /// Sets the handler that has the store confirm the registrations; the result
   /// goes to OnRegistrationsConfirmed().
   auto SetRegistrationReadHandler(std::function<void()> handler) -> void {
@@ -325,8 +333,9 @@
   auto AwaitOrigin(ActiveRequest& active, HttpRequest& request,
                    TimePoint arrived) -> bool;
 
-  /// Asks the store for what waiting requests need.
-  auto AskForOrigins() -> void;
+  /// Asks peers and the store for what waiting requests need, as far as each is
+  /// due.
+  auto AskForOrigins(TimePoint now) -> void;
 
   auto StartOriginTimer() -> void;
 
@@ -536,6 +545,8 @@
   boost::asio::steady_timer origin_timer_;
   std::map<ExchangeId, DeferredRequest> origin_waits_;
   std::size_t origin_wait_bytes_ = 0;  // of their bodies
+  TimePoint next_origin_query_at_{};
+  std::function<Duration(std::vector<std::uint64_t>)> on_origin_query_;
   std::function<void()> on_registration_read_;
   TimePoint timer_expiry_ = TimePoint::max();
   bool dispatch_pending_ = false;
--- a/modules/baobab_gateway/request_gateway_origins.h
+++ b/modules/baobab_gateway/request_gateway_origins.h
@@ -97,7 +97,7 @@
       active.exchange_,
       DeferredRequest{std::move(request), std::move(active.ingress_), arrived,
                       TimePoint::max()});
-  AskForOrigins();
+  AskForOrigins(Now());
   if (origin_waits_.size() == 1) {
     StartOriginTimer();
   }
@@ -105,22 +105,44 @@
 }
 
 template <RequestTranslator Codec>
-auto RequestGateway<Codec>::AskForOrigins() -> void {
-  if (on_registration_read_ && store_connected_) {
+auto RequestGateway<Codec>::AskForOrigins(TimePoint now) -> void {
+  if (on_origin_query_ && now >= next_origin_query_at_) {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [exchange, waiting] : origin_waits_) {
+      const auto& stream = waiting.ingress_.resumed_stream_;
+      if (!stream.empty() && now - waiting.ingress_.origin_asked_at_ <
+                                 StreamOriginResolver::kPeerWait) {
+        ids.push_back(StreamOrigins::IdOf(stream));
+      }
+    }
+    if (!ids.empty()) {
+      metrics_.Add("gateway_origin_queries_total", "");
+      next_origin_query_at_ = now + on_origin_query_(std::move(ids));
+    }
+  }
+  const bool reads = on_registration_read_ && store_connected_ &&
+                     std::any_of(origin_waits_.begin(), origin_waits_.end(),
+                                 [now](const auto& item) {
+                                   const auto& ingress = item.second.ingress_;
+                                   return ingress.resumed_stream_.empty() ||
+                                          now - ingress.origin_asked_at_ >=
+                                              StreamOriginResolver::kReadDelay;
+                                 });
+  if (reads) {
     on_registration_read_();
   }
 }
 
 template <RequestTranslator Codec>
 auto RequestGateway<Codec>::StartOriginTimer() -> void {
-  origin_timer_.expires_after(StreamOriginResolver::kReadInterval);
+  origin_timer_.expires_after(StreamOriginResolver::kReadDelay);
   origin_timer_.async_wait([this](boost::system::error_code error) {
     if (error) {
       return;
     }
     ReleaseOriginWaits(Now());
     if (!origin_waits_.empty()) {
-      AskForOrigins();
+      AskForOrigins(Now());
       StartOriginTimer();
     }
   });
--- a/modules/baobab_gateway/stream_origin_resolver.h
+++ b/modules/baobab_gateway/stream_origin_resolver.h
@@ -21,11 +21,14 @@
 /// the stream, and with it the registration of the target, were earlier.
 class StreamOriginResolver {
  public:
+  /// Time for which peers are asked. They usually answer within a few
+  /// milliseconds; the query is repeated meanwhile, since it may be lost.
+  static constexpr Duration kPeerWait = std::chrono::milliseconds(100);
   /// Longest wait for the store: a read takes some milliseconds, and a store
   /// that is unreachable is noticed only later.
   static constexpr Duration kStoreWait = std::chrono::milliseconds(400);
-  /// Interval at which the store is asked while requests wait.
-  static constexpr Duration kReadInterval = std::chrono::milliseconds(10);
+  /// Time after which the store is read: peers usually answer sooner.
+  static constexpr Duration kReadDelay = std::chrono::milliseconds(10);
   /// Part of the time left to the caller for which a request waits: the rest is
   /// left for a retry.
   static constexpr int kTimeLeftDivisor = 3;
@@ -33,7 +36,7 @@
   enum class Verdict : std::uint8_t {
     kRecorded,     ///< Goes on at the recorded version.
     kOnlyVersion,  ///< Goes on at the one version that there is.
-    kUndecided,    ///< The store may still tell.
+    kUndecided,    ///< Peers or the store may still tell.
     kUnknown,      ///< Must not go on.
   };
 
@@ -65,9 +68,14 @@
         return {Verdict::kOnlyVersion, {resumption.service_, std::move(*only)}};
       }
     }
-    const bool may_be_read = !confirmed && resumption.store_connected_ &&
-                             resumption.waited_ < resumption.max_wait_;
-    return {may_be_read ? Verdict::kUndecided : Verdict::kUnknown, {}};
+    const bool may_be_told =
+        !resumption.stream_.empty() && resumption.waited_ < kPeerWait;
+    const bool may_be_read = !confirmed && resumption.store_connected_;
+    return {resumption.waited_ < resumption.max_wait_ &&
+                    (may_be_told || may_be_read)
+                ? Verdict::kUndecided
+                : Verdict::kUnknown,
+            {}};
   }
 
   /// Returns the longest time for which a request waits. `time_left`: until its
--- a/modules/baobab_gateway/stream_origins.cc
+++ b/modules/baobab_gateway/stream_origins.cc
@@ -12,9 +12,42 @@
 
 /// First field of an update. Its last character is the version of the encoding.
 constexpr std::string_view kMagic = "bbs1";
+/// The same for a query.
+constexpr std::string_view kQueryMagic = "bbq1";
 
 }  // namespace
 
+auto EncodeStreamOriginQuery(const StreamOriginQuery& query) -> std::string {
+  ByteWriter writer;
+  writer.WriteString(kQueryMagic);
+  writer.WriteString(query.instance_);
+  writer.WriteString(query.address_);
+  writer.WriteUnsigned(query.ids_.size());
+  for (const auto id : query.ids_) {
+    writer.WriteUnsigned(id);
+  }
+  return writer.Take();
+}
+
+auto DecodeStreamOriginQuery(std::string_view bytes)
+    -> std::optional<StreamOriginQuery> {
+  try {
+    ByteReader reader(bytes);
+    if (reader.ReadString() != kQueryMagic) {
+      return std::nullopt;
+    }
+    StreamOriginQuery query;
+    query.instance_ = reader.ReadString();
+    query.address_ = reader.ReadString();
+    for (auto remaining = reader.ReadCount(); remaining > 0; --remaining) {
+      query.ids_.push_back(reader.ReadUnsigned());
+    }
+    return query;
+  } catch (const StepError&) {
+    return std::nullopt;  // PeerLink logs and counts it.
+  }
+}
+
 auto EncodeStreamOrigins(const StreamOriginUpdate& update) -> std::string {
   ByteWriter writer;
   writer.WriteString(kMagic);
@@ -64,10 +97,14 @@
   }
 }
 
+auto StreamOrigins::IdOf(std::string_view stream) -> std::uint64_t {
+  return HashKey(stream);
+}
+
 auto StreamOrigins::Record(const std::string& stream,
                            const SoftwareVersion& origin, TimePoint now)
     -> void {
-  Insert(HashKey(stream), origin, now, /*is_own=*/true, now);
+  Insert(IdOf(stream), origin, now, /*is_own=*/true, now);
 }
 
 auto StreamOrigins::Learn(const StreamOriginUpdate& update, TimePoint now)
@@ -82,12 +119,51 @@
 
 auto StreamOrigins::Find(const std::string& stream, TimePoint now) const
     -> const SoftwareVersion* {
-  const auto found = streams_.find(HashKey(stream));
+  const auto found = streams_.find(IdOf(stream));
   return found == streams_.end() || now - found->second.began_at_ > kMaxAge
              ? nullptr
              : found->second.origin_.get();
 }
 
+auto StreamOrigins::Lookup(const std::vector<std::uint64_t>& ids,
+                           TimePoint now) const -> StreamOriginUpdate {
+  StreamOriginUpdate update;
+  std::map<const SoftwareVersion*, std::size_t> indexes;
+  for (const auto id : ids) {
+    const auto found = streams_.find(id);
+    if (found != streams_.end() && now - found->second.began_at_ <= kMaxAge &&
+        update.streams_.size() < kMaxStreamsInUpdate) {
+      Append(update, indexes, id, found->second, now);
+    }
+  }
+  return update;
+}
+
+auto StreamOrigins::TakeKeeperUpdate(const std::set<std::string>& mixed,
+                                     TimePoint now) -> StreamOriginUpdate {
+  Expire(now);
+  StreamOriginUpdate update;
+  std::map<const SoftwareVersion*, std::size_t> indexes;
+  std::deque<std::uint64_t> remaining;
+  for (const auto id : keeper_pending_) {
+    const auto found = streams_.find(id);
+    if (found == streams_.end() ||
+        mixed.count(found->second.origin_->service_) > 0) {
+      continue;
+    }
+    if (update.streams_.size() >= kMaxStreamsInUpdate) {
+      remaining.push_back(id);
+      continue;
+    }
+    Append(update, indexes, id, found->second, now);
+    if (++found->second.keeper_repetitions_ < kKeeperRepetitions) {
+      remaining.push_back(id);
+    }
+  }
+  keeper_pending_ = std::move(remaining);
+  return update;
+}
+
 auto StreamOrigins::TakeUpdate(const std::set<std::string>& mixed,
                                TimePoint now) -> StreamOriginUpdate {
   Expire(now);
@@ -167,10 +243,11 @@
     streams_.erase(order_.front().second);
     order_.pop_front();
   }
-  streams_[id] = {Intern(origin), began_at, is_own, 0};
+  streams_[id] = {Intern(origin), began_at, is_own, 0, 0};
   order_.emplace_back(now, id);
   if (is_own) {
     pending_.push_back(id);
+    keeper_pending_.push_back(id);
     last_own_ = now;
   }
 }
--- a/modules/baobab_gateway/stream_origins.h
+++ b/modules/baobab_gateway/stream_origins.h
@@ -29,6 +29,20 @@
   std::vector<Stream> streams_;
 };
 
+/// Asks a peer for the origins of streams.
+struct StreamOriginQuery {
+  std::string instance_;
+  std::string address_;             ///< IP address of the sender.
+  std::vector<std::uint64_t> ids_;  ///< See StreamOrigins::IdOf().
+};
+
+/// Encodes a query as the payload of a datagram.
+[[nodiscard]] auto EncodeStreamOriginQuery(const StreamOriginQuery& query)
+    -> std::string;
+/// Decodes a query. Returns nullopt if `bytes` are not a complete one.
+[[nodiscard]] auto DecodeStreamOriginQuery(std::string_view bytes)
+    -> std::optional<StreamOriginQuery>;
+
 /// Encodes an update as the payload of a datagram.
 [[nodiscard]] auto EncodeStreamOrigins(const StreamOriginUpdate& update)
     -> std::string;
@@ -51,6 +65,11 @@
   static constexpr std::size_t kMaxStreamsInUpdate = 3'000;
   /// Number of updates that name a stream, since updates may be lost.
   static constexpr int kRepetitions = 3;
+  /// The same for updates to the keepers of origins, which are few.
+  static constexpr int kKeeperRepetitions = 2;
+
+  /// Returns the id under which instances exchange the origin of `stream`.
+  [[nodiscard]] static auto IdOf(std::string_view stream) -> std::uint64_t;
 
   /// Records that this instance delivered the first event of `stream`, or went
   /// on with it. A known origin stands.
@@ -61,6 +80,14 @@
   /// Returns the origin of `stream`, or nullptr if it is unknown.
   [[nodiscard]] auto Find(const std::string& stream, TimePoint now) const
       -> const SoftwareVersion*;
+  /// Returns what is known of the streams `ids`, of this instance or a peer.
+  [[nodiscard]] auto Lookup(const std::vector<std::uint64_t>& ids,
+                            TimePoint now) const -> StreamOriginUpdate;
+  /// Returns the streams of this instance that its keepers must know: a few
+  /// peers that answer for it while it is silent. Leaves out the services
+  /// `mixed`, whose streams TakeUpdate() names to all peers.
+  [[nodiscard]] auto TakeKeeperUpdate(const std::set<std::string>& mixed,
+                                      TimePoint now) -> StreamOriginUpdate;
   /// Returns the streams of this instance that peers must know, of the services
   /// `mixed`; others wait until their service has several versions.
   [[nodiscard]] auto TakeUpdate(const std::set<std::string>& mixed,
@@ -84,6 +111,7 @@
     TimePoint began_at_{};
     bool is_own_ = false;
     int repetitions_ = 0;  // updates that named it
+    int keeper_repetitions_ = 0;
   };
 
   /// Appends a stream to `update`. `indexes` are those of its origins.
@@ -101,6 +129,7 @@
   std::unordered_map<std::uint64_t, Entry> streams_;
   std::deque<std::pair<TimePoint, std::uint64_t>> order_;  // of insertion
   std::deque<std::uint64_t> pending_;  // own streams that updates still name
+  std::deque<std::uint64_t> keeper_pending_;  // the same for TakeKeeperUpdate()
   TimePoint last_own_{};
   std::map<SoftwareVersion, std::weak_ptr<const SoftwareVersion>> interned_;
 };
--- a/modules/baobab_gateway/stream_origins_test.cc
+++ b/modules/baobab_gateway/stream_origins_test.cc
@@ -52,6 +52,50 @@
   CHECK(origins.Find("0", kStart) != nullptr);
 }
 
+// Guards against damaged queries of peers that end a process.
+TEST_CASE("Damaged queries for origins of streams do no harm", "[gateway]") {
+  const StreamOriginQuery query{"a", "10.0.0.1", {7, UINT64_MAX}};
+  const auto bytes = EncodeStreamOriginQuery(query);
+  const auto decoded = DecodeStreamOriginQuery(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->instance_ == query.instance_);
+  CHECK(decoded->address_ == query.address_);
+  CHECK(decoded->ids_ == query.ids_);
+  CHECK_FALSE(DecodeStreamOrigins(bytes));
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeStreamOriginQuery(bytes.substr(0, size)));
+  }
+}
+
+// Guards against streams that nobody knows once the instance that began them is
+// lost, although it had time to tell.
+TEST_CASE("Keepers learn streams of services with one version", "[gateway]") {
+  StreamOrigins origins;
+  origins.Record("one", {"s", "v1"}, kStart);
+  origins.Record("other", {"t", "v1"}, kStart);
+  StreamOrigins keeper;
+  for (int i = 0; i < StreamOrigins::kKeeperRepetitions; ++i) {
+    // All peers are told of the streams of a service with several versions.
+    const auto update = origins.TakeKeeperUpdate({"t"}, kStart);
+    REQUIRE(update.streams_.size() == 1);
+    keeper.Learn(update, kStart);
+  }
+  CHECK(origins.TakeKeeperUpdate({}, kStart).streams_.empty());
+  CHECK(origins.TakeUpdate(kMixed, kStart).streams_.size() == 1);
+  // A keeper answers for the instance that began the stream.
+  const auto now = kStart + seconds(5);
+  const auto answer = keeper.Lookup(
+      {StreamOrigins::IdOf("one"), StreamOrigins::IdOf("other")}, now);
+  REQUIRE(answer.streams_.size() == 1);
+  CHECK(answer.streams_.front().id_ == StreamOrigins::IdOf("one"));
+  CHECK(answer.streams_.front().age_ == seconds(5));
+  CHECK(answer.origins_ == std::vector<SoftwareVersion>{{"s", "v1"}});
+  CHECK(keeper
+            .Lookup({StreamOrigins::IdOf("one")},
+                    kStart + StreamOrigins::kMaxAge + seconds(1))
+            .streams_.empty());
+}
+
 // Guards against a peer that does not know a stream: it began before its
 // service had several versions, an update was lost, or the peer started later.
 TEST_CASE("Peers learn the streams of services with several versions",
