Know whether the store is connected when the first targets arrive

Cause: a starting instance admits the requests that it has deferred as soon as its first listing arrives. The gateway learned only with the next report, up to 0.1 s later, that the store is connected, and refused what needs it.

Change: the gateway is told before the targets. stream_resumed states the time that the caller left.

--- a/modules/baobab_gateway/entry_instance.h
+++ b/modules/baobab_gateway/entry_instance.h
@@ -305,6 +305,8 @@
   }
 
   auto OnTargets(const TargetRegistry& registry) -> void {
+    // Deferred requests are admitted now, perhaps before the first report.
+    gateway_.SetStoreConnected(IsStoreConnected(Now()));
     gateway_.SetTargets(registry);
     holder_.SetRegistry(registry);
     if (sync_.is_watching_instance() &&
--- a/modules/baobab_gateway/request_gateway_origins.h
+++ b/modules/baobab_gateway/request_gateway_origins.h
@@ -53,7 +53,9 @@
       .With("service", item.service_)
       .With("version", item.version_.value_or(""))
       .With("source", source)
-      .With("waited_ms", Milliseconds(now - ingress.origin_asked_at_));
+      .With("waited_ms", Milliseconds(now - ingress.origin_asked_at_))
+      .With("left_ms",
+            ingress.time_left_ ? Milliseconds(*ingress.time_left_) : -1);
   metrics_.Add("gateway_resumed_streams_total", Label("source", source));
   if (obstacle != nullptr) {
     Refuse(active.exchange_, ingress.id_, RefusalReason::kNotRun, obstacle,
