--- a/modules/baobab_gateway/state_sync.h
+++ b/modules/baobab_gateway/state_sync.h
@@ -312,9 +312,10 @@
   [[nodiscard]] auto FindUnrecordedEra(TimePoint now) const
       -> std::optional<std::int64_t> {
     const auto era = StorePosition::Era(revision_);
-    return era != settled_era_ && now >= registrations_back_at_
-               ? std::optional(era)
-               : std::nullopt;
+    if (era == settled_era_ || now < registrations_back_at_) {
+      return std::nullopt;
+    }
+    return era;
   }
 
   /// Applies a manifest that a peer sent, if it is newer than the known one.
