Read the store once for a stream that peers may still know

Cause, found by reading the diff: while a request waits for the answers of peers, up to 0.1 s, the store was read every 10 ms, although it had confirmed the registrations after the request arrived. Each read is a priced call.

The decisions are the same.

--- a/modules/baobab_gateway/request_gateway_origins.h
+++ b/modules/baobab_gateway/request_gateway_origins.h
@@ -122,15 +122,14 @@
       next_origin_query_at_ = now + on_origin_query_(std::move(ids));
     }
   }
-  const bool reads = on_registration_read_ && store_connected_ &&
-                     std::any_of(origin_waits_.begin(), origin_waits_.end(),
-                                 [now](const auto& item) {
-                                   const auto& ingress = item.second.ingress_;
-                                   return ingress.resumed_stream_.empty() ||
-                                          now - ingress.origin_asked_at_ >=
-                                              StreamOriginResolver::kReadDelay;
-                                 });
-  if (reads) {
+  const auto needs_read = [this, now](const auto& item) {
+    const auto& ingress = item.second.ingress_;
+    return !origin_resolver_.IsConfirmed(ingress.received_at_) &&
+           (ingress.resumed_stream_.empty() ||
+            now - ingress.origin_asked_at_ >= StreamOriginResolver::kReadDelay);
+  };
+  if (on_registration_read_ && store_connected_ &&
+      std::any_of(origin_waits_.begin(), origin_waits_.end(), needs_read)) {
     on_registration_read_();
   }
 }
--- a/modules/baobab_gateway/stream_origin_resolver.h
+++ b/modules/baobab_gateway/stream_origin_resolver.h
@@ -27,7 +27,8 @@
   /// Longest wait for the store: a read takes some milliseconds, and a store
   /// that is unreachable is noticed only later.
   static constexpr Duration kStoreWait = std::chrono::milliseconds(400);
-  /// Time after which the store is read: peers usually answer sooner.
+  /// Time after which the store is read: peers usually answer sooner. Also the
+  /// interval of the checks on waiting requests.
   static constexpr Duration kReadDelay = std::chrono::milliseconds(10);
   /// Part of the time left to the caller for which a request waits: the rest is
   /// left for a retry.
@@ -61,8 +62,7 @@
     if (const auto* origin = origins_.Find(resumption.stream_, now)) {
       return {Verdict::kRecorded, *origin};
     }
-    const bool confirmed =
-        confirmed_at_ && *confirmed_at_ >= resumption.received_at_;
+    const bool confirmed = IsConfirmed(resumption.received_at_);
     if (confirmed) {
       if (auto only = versions_.OnlyVersion(resumption.service_, now)) {
         return {Verdict::kOnlyVersion, {resumption.service_, std::move(*only)}};
@@ -90,6 +90,12 @@
     confirmed_at_ = std::max(confirmed_at_.value_or(moment), moment);
   }
 
+  /// Returns true if the registrations are known as of `moment` (boot clock) or
+  /// a later one.
+  [[nodiscard]] auto IsConfirmed(Duration moment) const -> bool {
+    return confirmed_at_ && *confirmed_at_ >= moment;
+  }
+
   [[nodiscard]] auto versions() -> SoftwareVersions& { return versions_; }
   [[nodiscard]] auto origins() -> StreamOrigins& { return origins_; }
 
